--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+MODULES := . ./cmd/backend ./cmd/eelgrass ./cmd/eelgrassd ./cmd/platform ./examples/cooperative ./examples/ferrando
+PACKAGES := $(addsuffix /...,$(MODULES))
+
+.PHONY: build demo test up down lint
+
+build:
+	mkdir -p bin
+	go build -o bin/ $(filter-out .,$(MODULES))
+
+demo: build
+	scripts/demo.sh
+
+up: build
+	scripts/up.sh
+
+down:
+	scripts/down.sh
+
+test:
+	go test $(TESTFLAGS) $(PACKAGES)
+
+lint:
+	test -z "$$(gofmt -l .)"
+	go vet $(PACKAGES)
+	go run honnef.co/go/tools/cmd/staticcheck@v0.8.2 $(PACKAGES)
--- /dev/null
+++ b/backend.go
@@ -0,0 +1,94 @@
+package eelgrassring
+
+import (
+	"context"
+	"errors"
+)
+
+// ErrFenced marks an order that a backend server refused because it has seen
+// a larger epoch.
+var ErrFenced = errors.New("order has an old fencing number")
+
+// BackendPhase is the state of the member that a backend server runs.
+type BackendPhase string
+
+// The phases of a backend server.
+const (
+	BackendEmpty   BackendPhase = "empty"
+	BackendLoading BackendPhase = "loading"
+	BackendReady   BackendPhase = "ready"
+)
+
+// Spec is what a group serves: a model in one version with its adapters.
+type Spec struct {
+	Model    Model     `json:"model"`
+	Version  string    `json:"version"`
+	Adapters []Adapter `json:"adapters,omitempty"`
+}
+
+// Equal reports whether two specs load the same weights.
+func (s Spec) Equal(o Spec) bool {
+	if s.Model != o.Model || s.Version != o.Version || len(s.Adapters) != len(o.Adapters) {
+		return false
+	}
+	for i, a := range s.Adapters {
+		if a != o.Adapters[i] {
+			return false
+		}
+	}
+	return true
+}
+
+// Status is what a backend server reports of itself. Incarnation changes at
+// each start of the server. Running and Waiting count requests at the group's
+// first member and lag behind.
+type Status struct {
+	VM          VM           `json:"vm"`
+	Incarnation string       `json:"incarnation"`
+	Group       Group        `json:"group,omitempty"`
+	Epoch       Epoch        `json:"epoch,omitempty"`
+	Phase       BackendPhase `json:"phase"`
+	Spec        Spec         `json:"spec"`
+	Running     int          `json:"running"`
+	Waiting     int          `json:"waiting"`
+	Leaving     bool         `json:"leaving,omitempty"`
+}
+
+// Order tells a backend server to load its part of a replica, or to unload.
+type Order struct {
+	Epoch   Epoch    `json:"epoch"`
+	Group   Group    `json:"group,omitempty"`
+	Rank    int      `json:"rank"`
+	Members []string `json:"members,omitempty"`
+	Spec    Spec     `json:"spec"`
+	Slots   int      `json:"slots,omitempty"`
+	Unload  bool     `json:"unload,omitempty"`
+}
+
+// BackendControl is the control side of the backend servers. Address is the
+// server's IP and port. Send returns an error that wraps ErrFenced when the
+// server refused the order for its epoch.
+type BackendControl interface {
+	Status(ctx context.Context, address string) (Status, error)
+	Send(ctx context.Context, address string, order Order) error
+}
+
+// VMState is the platform's view of a VM.
+type VMState string
+
+// The states of a VM in the platform's list.
+const (
+	VMLive    VMState = "live"
+	VMLeaving VMState = "leaving"
+)
+
+// ListedVM is one row of the platform's list.
+type ListedVM struct {
+	VM    VM      `json:"vm"`
+	State VMState `json:"state"`
+}
+
+// VMList is the platform's list of live and leaving VMs; it lags.
+type VMList interface {
+	VMs(ctx context.Context) ([]ListedVM, error)
+}
--- /dev/null
+++ b/cmd/backend/main.go
@@ -0,0 +1,65 @@
+// Command backend stands in for one backend server: a model engine, or a
+// plain service.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/standin/engine"
+	"eelgrassring.dev/internal/standin/platform"
+	"eelgrassring.dev/internal/standin/service"
+)
+
+func main() {
+	address := flag.String("address", "127.0.0.1:9100", "address to listen on")
+	kind := flag.String("kind", "engine", "engine or service")
+	vm := flag.String("vm", "", "name of the VM")
+	isChecked := flag.Bool("fencing", true, "refuse orders with an old epoch")
+	load := flag.Duration("load", 800*time.Millisecond, "time to load weights")
+	first := flag.Duration("first", 80*time.Millisecond, "time to the first token")
+	gap := flag.Duration("gap", 15*time.Millisecond, "time between tokens")
+	weights := flag.String("weights", "", "address of the weight store")
+	flag.Parse()
+	if *kind == "service" {
+		exit(http.ListenAndServe(*address, service.New().Handler()))
+	}
+	s := engine.New(engine.Config{
+		VM: ring.VM(*vm), Incarnation: strconv.FormatInt(time.Now().UnixNano(), 36), CheckFencing: *isChecked,
+		LoadTime: *load, FirstToken: *first, TokenGap: *gap, WaitWeights: weightStore(*weights),
+	})
+	go s.Watch(context.Background())
+	exit(http.ListenAndServe(*address, s.Handler()))
+}
+
+func exit(err error) {
+	fmt.Fprintln(os.Stderr, "backend:", err)
+	os.Exit(1)
+}
+
+// weightStore asks the weight store for a turn; without an address there is
+// none to wait for.
+func weightStore(address string) func() time.Duration {
+	if address == "" {
+		return nil
+	}
+	return func() time.Duration {
+		resp, err := http.Post("http://"+address+"/weights", "application/json", nil)
+		if err != nil {
+			return 0
+		}
+		defer resp.Body.Close()
+		var r platform.Reservation
+		if json.NewDecoder(resp.Body).Decode(&r) != nil {
+			return 0
+		}
+		return time.Duration(r.WaitMilliseconds) * time.Millisecond
+	}
+}
--- /dev/null
+++ b/cmd/eelgrass/apply.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"eelgrassring.dev/internal/catalog"
+	"eelgrassring.dev/internal/etcd"
+)
+
+const applyHelp = `apply puts a configuration in force, if its base still is.
+
+The base is the number that diff printed; 0 is for a deployment that has no
+configuration yet. When another operator was faster, nothing is applied and
+the changes since the base are shown. When the answer of the key-value service
+is lost, apply reads what happened; it never writes twice.
+
+Examples:
+
+  eelgrass apply deployment.json --base 0
+  eelgrass apply deployment.json --base 7 --operator inge`
+
+// The exit codes of an apply that did not succeed.
+const (
+	exitConflict = 2
+	exitUnknown  = 3
+)
+
+func applyCommand(o *options) *cobra.Command {
+	var base int64
+	var operator string
+	c := &cobra.Command{
+		Use: "apply FILE", Short: "Put a configuration in force", Long: applyHelp, Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			text, _, err := readConfiguration(c, args[0])
+			if err != nil {
+				return err
+			}
+			request := catalog.Request{Document: text, Base: base, Nonce: newNonce(), Operator: operator, At: time.Now().UTC()}
+			return withStore(c, o, func(ctx context.Context, s *etcd.Client) error {
+				result, err := catalog.Apply(ctx, s, request)
+				if err != nil {
+					return fmt.Errorf("not accepted: %w", err)
+				}
+				return reportApply(c, o, base, result)
+			})
+		},
+	}
+	c.Flags().Int64Var(&base, "base", 0, "number of the configuration that this one was made from")
+	c.Flags().StringVar(&operator, "operator", os.Getenv("USER"), "who applies, for the history")
+	return c
+}
+
+func newNonce() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:]) // Read never fails; see crypto/rand.
+	return hex.EncodeToString(b[:])
+}
+
+func reportApply(c *cobra.Command, o *options, base int64, r catalog.Result) error {
+	err := o.print(c.OutOrStdout(), r, func(w io.Writer) {
+		switch r.Outcome {
+		case catalog.OutcomeAccepted:
+			fmt.Fprintf(w, "accepted: configuration %d, %d changes\n", r.Number, len(r.Changes))
+		case catalog.OutcomeSame:
+			fmt.Fprintf(w, "unchanged: configuration %d is the same\n", r.Number)
+		case catalog.OutcomeConflict:
+			fmt.Fprintf(w, "not accepted: configuration %d is in force, not %d; changed since:\n", r.Number, base)
+			for _, line := range r.Changes {
+				fmt.Fprintln(w, line)
+			}
+			fmt.Fprintln(w, "Merge these changes into the program, run diff again and apply with the new base.")
+		case catalog.OutcomeUnknown:
+			fmt.Fprintln(w, "unknown: the key-value service lost the answer and cannot be read.")
+			fmt.Fprintln(w, "Look at history when it is back; applying again with the same base is safe.")
+		}
+	})
+	if err != nil {
+		return err
+	}
+	switch r.Outcome {
+	case catalog.OutcomeConflict:
+		os.Exit(exitConflict)
+	case catalog.OutcomeUnknown:
+		os.Exit(exitUnknown)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/eelgrass/drain.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/spf13/cobra"
+)
+
+const drainHelp = `drain starts the graceful shutdown of a node.
+
+The node first fails its readiness, serves for the balancer's lag, lets all
+requests in flight end whole, and then stops.
+
+Example:
+
+  eelgrass drain --node 10.0.0.11:8082`
+
+func drainCommand(o *options) *cobra.Command {
+	return &cobra.Command{
+		Use: "drain", Short: "Stop a node gracefully", Long: drainHelp, Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			resp, err := http.Post("http://"+o.node+"/drain", "", nil)
+			if err != nil {
+				return fmt.Errorf("node %s does not answer: %w", o.node, err)
+			}
+			defer resp.Body.Close()
+			if resp.StatusCode != http.StatusAccepted {
+				return fmt.Errorf("node %s: status %d", o.node, resp.StatusCode)
+			}
+			fmt.Fprintf(c.OutOrStdout(), "node %s is draining\n", o.node)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/eelgrass/root.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"eelgrassring.dev/internal/etcd"
+)
+
+// options are the flags that all subcommands share.
+type options struct {
+	store  string
+	node   string
+	output string
+}
+
+const rootHelp = `eelgrass checks, compares and applies configurations, and shows the state.
+
+A configuration is printed by a program that uses the declare library. It is
+reviewed and kept in version control like any other code, then applied:
+
+  go run ./deployment > deployment.json
+  eelgrass check deployment.json
+  eelgrass diff deployment.json --store 10.0.0.5:2379
+  eelgrass apply deployment.json --base 7 --store 10.0.0.5:2379
+
+The exit code is 0 on success, 1 on failure, 2 when an apply lost against
+another one, and 3 when it is unknown whether an apply took effect.`
+
+func rootCommand() *cobra.Command {
+	o := &options{}
+	c := &cobra.Command{
+		Use: "eelgrass", Short: "Operate an eelgrassring deployment", Long: rootHelp,
+		Version: version, SilenceUsage: true, SilenceErrors: true,
+	}
+	c.PersistentFlags().StringVar(&o.store, "store", "127.0.0.1:2379", "address of the platform's key-value service")
+	c.PersistentFlags().StringVar(&o.node, "node", "127.0.0.1:8082", "admin address of a node")
+	c.PersistentFlags().StringVarP(&o.output, "output", "o", "table", "table or json")
+	c.AddCommand(
+		checkCommand(), diffCommand(o), applyCommand(o), historyCommand(o),
+		statusCommand(o), explainCommand(o), drainCommand(o),
+	)
+	return c
+}
+
+// callSpan bounds what one subcommand does over the network.
+const callSpan = 20 * time.Second
+
+// withStore runs do with a client of the key-value service.
+func withStore(c *cobra.Command, o *options, do func(context.Context, *etcd.Client) error) error {
+	store, err := etcd.New(etcd.Config{Address: o.store})
+	if err != nil {
+		return err
+	}
+	defer store.Close()
+	ctx, cancel := context.WithTimeout(c.Context(), callSpan)
+	defer cancel()
+	return do(ctx, store)
+}
+
+// print writes value as JSON, or as a table by the function.
+func (o *options) print(w io.Writer, value any, table func(io.Writer)) error {
+	switch o.output {
+	case "json":
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		return e.Encode(value)
+	case "table":
+		table(w)
+		return nil
+	default:
+		return fmt.Errorf("--output must be table or json, not %q", o.output)
+	}
+}
--- /dev/null
+++ b/cmd/eelgrassd/app.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"google.golang.org/grpc"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/admin"
+	"eelgrassring.dev/internal/claim"
+	"eelgrassring.dev/internal/engine"
+	"eelgrassring.dev/internal/etcd"
+	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/gateway"
+	"eelgrassring.dev/internal/metric"
+	"eelgrassring.dev/internal/node"
+	"eelgrassring.dev/internal/peer"
+	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/settings"
+	"eelgrassring.dev/internal/vmlist"
+)
+
+// stopSlack is added to the spans of a graceful shutdown.
+const stopSlack = 15 * time.Second
+
+// incarnation identifies this start of the process.
+type incarnation string
+
+func run(s settings.Settings) error {
+	app := fx.New(
+		fx.Supply(s),
+		fx.Provide(newIncarnation, newLog, newStore, newNode, newLedger, metric.New, newGateway, newAdmin),
+		fx.Invoke(serve),
+		fx.StopTimeout(time.Duration(s.Lag)+time.Duration(s.Drain)+stopSlack),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+	)
+	if err := app.Err(); err != nil {
+		return err
+	}
+	app.Run()
+	return nil
+}
+
+func newIncarnation() incarnation {
+	return incarnation(strconv.FormatInt(time.Now().UnixNano(), 36))
+}
+
+func newLog(s settings.Settings) (*event.Log, error) {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(s.Log)); err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	handler := slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
+	return event.NewLog(slog.New(handler).With("node", s.Name)), nil
+}
+
+func newStore(s settings.Settings) (ring.Store, error) {
+	return etcd.New(etcd.Config{Address: s.Store})
+}
+
+func newNode(s settings.Settings, i incarnation, store ring.Store, log *event.Log) *node.Node {
+	timing := node.DefaultTiming()
+	return node.New(node.Config{
+		Name: s.Name, Incarnation: string(i), Zone: ring.Zone(s.Zone), PeerAddress: s.Peers, Entry: s.Callers,
+		Store: store, VMList: vmlist.New(vmlist.Config{Address: s.VMs}),
+		Backends: engine.NewControl(engine.ControlConfig{Timeout: timing.ProbeTimeout}),
+		Peers:    peer.NewClient(), Table: node.NewTable(), Log: log,
+		Timing: timing, Placement: placement.DefaultOptions(),
+	})
+}
+
+func newLedger(s settings.Settings, i incarnation, store ring.Store) *claim.Ledger {
+	return claim.NewLedger(claim.Config{Store: store, Node: s.Name + "/" + string(i), Batch: claim.DefaultBatchConfig()})
+}
+
+func newGateway(s settings.Settings, n *node.Node, l *claim.Ledger, log *event.Log, m *metric.Registry) *gateway.Server {
+	return gateway.New(gateway.Config{
+		Node: n, Ledger: l, Log: log, Metrics: m, Body: s.Body, Queue: s.Queue,
+		First: time.Duration(s.First), Gap: time.Duration(s.Gap), Patience: time.Duration(s.Patience),
+	})
+}
+
+func newAdmin(s settings.Settings, n *node.Node, g *gateway.Server, m *metric.Registry, stop fx.Shutdowner) *admin.Server {
+	return admin.New(admin.Config{
+		Name: s.Name, Version: version, Node: n, Gateway: g, Metrics: m,
+		Stop: func() { _ = stop.Shutdown() },
+	})
+}
+
+// servers are the listeners of one node.
+type servers struct {
+	callers *http.Server
+	admin   *http.Server
+	peers   *grpc.Server
+}
+
+// serve starts the node with the application and stops it gracefully.
+func serve(l fx.Lifecycle, s settings.Settings, n *node.Node, ledger *claim.Ledger, g *gateway.Server, a *admin.Server, log *event.Log) {
+	ctx, cancel := context.WithCancel(context.Background())
+	run := &servers{
+		callers: &http.Server{Handler: g.Handler(), ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 2 * time.Minute},
+		admin:   &http.Server{Handler: a.Handler(), ReadHeaderTimeout: 10 * time.Second},
+		peers:   grpc.NewServer(),
+	}
+	peer.Register(run.peers, n)
+	stopped := make(chan struct{})
+	l.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if err := run.listen(s); err != nil {
+				return err
+			}
+			go ledger.Run(ctx)
+			go g.Scheduler().Run(ctx)
+			go func() { n.Run(ctx); close(stopped) }()
+			log.Write(event.Started, slog.String("callers", s.Callers), slog.String("version", version))
+			return nil
+		},
+		OnStop: func(stop context.Context) error {
+			log.Write(event.Draining)
+			n.Drain()
+			// The balancer lags: connections that it still opens are served.
+			time.Sleep(time.Duration(s.Lag))
+			err := run.callers.Shutdown(stop)
+			g.Settled(stop)
+			cancel()
+			<-stopped
+			run.peers.Stop()
+			_ = run.admin.Close()
+			log.Write(event.Stopped, slog.Any("error", err))
+			return err
+		},
+	})
+}
+
+func (r *servers) listen(s settings.Settings) error {
+	for _, one := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{s.Callers, r.callers.Serve}, {s.Admin, r.admin.Serve}, {s.Peers, r.peers.Serve},
+	} {
+		listener, err := net.Listen("tcp", one.address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", one.address, err)
+		}
+		go func() { _ = one.serve(listener) }()
+	}
+	return nil
+}
--- /dev/null
+++ b/identity.go
@@ -0,0 +1,35 @@
+package eelgrassring
+
+// VM names a machine that the platform provides.
+type VM string
+
+// Group names a declared group of VMs.
+type Group string
+
+// Workspace names a customer of the deployment.
+type Workspace string
+
+// Application names one program of a workspace; it holds one bearer key.
+type Application string
+
+// Model names a language model.
+type Model string
+
+// Adapter names an adapter that extends a base model.
+type Adapter string
+
+// Zone names an availability zone.
+type Zone string
+
+// Domain names a fabric domain: VMs in one domain share a fast interconnect.
+type Domain string
+
+// Service names a plain service that is routed beside the models.
+type Service string
+
+// Revision orders the states of the platform's key-value service.
+type Revision int64
+
+// Epoch is the fencing number of one assignment of VMs to a group. Every new
+// assignment has a larger epoch than all before it, over all groups.
+type Epoch uint64
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,236 @@
+package catalog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+)
+
+// historyKept is how many applies the history holds.
+const historyKept = 64
+
+// readBackTries and readBackPause bound the reads that settle an apply whose
+// answer was lost.
+const (
+	readBackTries = 5
+	readBackPause = 300 * time.Millisecond
+)
+
+// Accepted is the stored configuration.
+type Accepted struct {
+	// Number grows by one at each apply.
+	Number int64 `json:"number"`
+	// Nonce identifies the apply that wrote it.
+	Nonce string `json:"nonce"`
+	// Operator names who applied it.
+	Operator string    `json:"operator"`
+	At       time.Time `json:"at"`
+	Document string    `json:"document"`
+}
+
+// Entry is one apply in the history.
+type Entry struct {
+	Number   int64     `json:"number"`
+	Nonce    string    `json:"nonce"`
+	Operator string    `json:"operator"`
+	At       time.Time `json:"at"`
+	Changes  []string  `json:"changes"`
+}
+
+// Outcome is how an apply ended.
+type Outcome string
+
+// The outcomes of an apply.
+const (
+	OutcomeAccepted Outcome = "accepted"
+	OutcomeConflict Outcome = "conflict"
+	OutcomeSame     Outcome = "unchanged"
+	OutcomeUnknown  Outcome = "unknown"
+)
+
+// Request asks to put a document in force.
+type Request struct {
+	Document []byte
+	Base     int64
+	Nonce    string
+	Operator string
+	At       time.Time
+}
+
+// Result tells how an apply ended. For a conflict, Number is what is in force
+// and Changes is what others changed since the base, as far as is known; else
+// Changes is what the apply changed.
+type Result struct {
+	Outcome Outcome
+	Number  int64
+	Changes []string
+}
+
+// Decode reads the stored form of a configuration.
+func Decode(value []byte) (Accepted, error) {
+	var a Accepted
+	if err := json.Unmarshal(value, &a); err != nil {
+		return a, fmt.Errorf("stored configuration: %w", err)
+	}
+	return a, nil
+}
+
+// Current returns the accepted configuration and the revision of its key; the
+// number is 0 when there is none.
+func Current(ctx context.Context, s ring.Store) (Accepted, ring.Revision, error) {
+	e, ok, err := s.Get(ctx, ConfigurationKey)
+	if err != nil || !ok {
+		return Accepted{}, 0, err
+	}
+	a, err := Decode(e.Value)
+	return a, e.Modified, err
+}
+
+// Apply puts a valid document in force if the base is still in force. It
+// never applies twice: after a lost answer it only reads.
+func Apply(ctx context.Context, s ring.Store, r Request) (Result, error) {
+	next, err := deployment.Parse(r.Document)
+	if err != nil {
+		return Result{}, err
+	}
+	current, revision, err := Current(ctx, s)
+	if err != nil {
+		return Result{}, err
+	}
+	if current.Number != r.Base {
+		return conflict(ctx, s, r.Base, current.Number)
+	}
+	changes, err := changesFrom(current, next)
+	if err != nil {
+		return Result{}, err
+	}
+	if current.Number > 0 && len(changes) == 0 {
+		return Result{Outcome: OutcomeSame, Number: current.Number}, nil
+	}
+	txn, err := applyTxn(r, next, changes, revision)
+	if err != nil {
+		return Result{}, err
+	}
+	done, err := s.Commit(ctx, txn)
+	if errors.Is(err, ring.ErrOutcomeUnknown) {
+		return settle(ctx, s, r, changes)
+	}
+	if err != nil {
+		return Result{}, err
+	}
+	if !done.Succeeded {
+		current, _, err = Current(ctx, s)
+		if err != nil {
+			return Result{}, err
+		}
+		return conflict(ctx, s, r.Base, current.Number)
+	}
+	return Result{Outcome: OutcomeAccepted, Number: r.Base + 1, Changes: changes}, nil
+}
+
+func changesFrom(current Accepted, next *deployment.Configuration) ([]string, error) {
+	var before deployment.Document
+	if current.Number > 0 {
+		c, err := deployment.Parse([]byte(current.Document))
+		if err != nil {
+			return nil, fmt.Errorf("configuration %d in force: %w", current.Number, err)
+		}
+		before = c.Document()
+	}
+	var out []string
+	for _, d := range deployment.Diff(before, next.Document()) {
+		out = append(out, d.String())
+	}
+	return out, nil
+}
+
+func applyTxn(r Request, next *deployment.Configuration, changes []string, revision ring.Revision) (ring.Txn, error) {
+	var text bytes.Buffer
+	if err := next.Document().Print(&text); err != nil {
+		return ring.Txn{}, err
+	}
+	number := r.Base + 1
+	accepted, err := json.Marshal(Accepted{number, r.Nonce, r.Operator, r.At, text.String()})
+	if err != nil {
+		return ring.Txn{}, fmt.Errorf("apply: %w", err)
+	}
+	entry, err := json.Marshal(Entry{number, r.Nonce, r.Operator, r.At, changes})
+	if err != nil {
+		return ring.Txn{}, fmt.Errorf("apply: %w", err)
+	}
+	return ring.Txn{
+		Guards: []ring.Guard{ring.Unchanged(ConfigurationKey, revision)},
+		Writes: []ring.Write{
+			{Key: ConfigurationKey, Value: accepted},
+			{Key: historyKey(number), Value: entry},
+			{Key: historyKey(number - historyKept), Delete: true},
+		},
+	}, nil
+}
+
+// settle finds out by reading whether an apply with a lost answer took
+// effect. Only a history entry with its nonce proves that it did; another
+// nonce under its number proves that it did not and cannot any more.
+func settle(ctx context.Context, s ring.Store, r Request, changes []string) (Result, error) {
+	for try := range readBackTries {
+		if try > 0 {
+			time.Sleep(readBackPause)
+		}
+		e, ok, err := s.Get(ctx, historyKey(r.Base+1))
+		if err != nil || !ok {
+			continue
+		}
+		var entry Entry
+		if err := json.Unmarshal(e.Value, &entry); err != nil {
+			return Result{}, fmt.Errorf("history %d: %w", r.Base+1, err)
+		}
+		if entry.Nonce == r.Nonce {
+			return Result{Outcome: OutcomeAccepted, Number: r.Base + 1, Changes: changes}, nil
+		}
+		return conflict(ctx, s, r.Base, entry.Number)
+	}
+	return Result{Outcome: OutcomeUnknown, Number: r.Base}, nil
+}
+
+func conflict(ctx context.Context, s ring.Store, base, now int64) (Result, error) {
+	out := Result{Outcome: OutcomeConflict, Number: now}
+	entries, err := History(ctx, s)
+	if err != nil {
+		return out, err
+	}
+	for _, e := range entries {
+		if e.Number <= base {
+			continue
+		}
+		out.Changes = append(out.Changes, fmt.Sprintf("# %d by %s", e.Number, e.Operator))
+		out.Changes = append(out.Changes, e.Changes...)
+	}
+	return out, nil
+}
+
+// History returns the kept applies, oldest first.
+func History(ctx context.Context, s ring.Store) ([]Entry, error) {
+	entries, _, err := s.List(ctx, HistoryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]Entry, 0, len(entries))
+	for _, e := range entries {
+		var one Entry
+		if err := json.Unmarshal(e.Value, &one); err != nil {
+			return nil, fmt.Errorf("history %s: %w", e.Key, err)
+		}
+		out = append(out, one)
+	}
+	return out, nil
+}
+
+func historyKey(number int64) string {
+	return fmt.Sprintf("%s%012d", HistoryPrefix, max(number, 0))
+}
--- /dev/null
+++ b/internal/claim/ledger.go
@@ -0,0 +1,256 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	ring "eelgrassring.dev"
+)
+
+const (
+	// retention is how long a claim is kept after it was written. A key that
+	// is used again after it counts as new.
+	retention = 25 * time.Hour
+	// leaseSpan is how long one lease takes new claims; many claims share it,
+	// so that leases cost the store nothing.
+	leaseSpan = time.Hour
+	// settleTries and settlePause bound the writes of an answer's record.
+	settleTries = 5
+	settlePause = 200 * time.Millisecond
+	// releaseSpan bounds how long a writer tries to remove a claim that it
+	// never dispatched.
+	releaseSpan = 30 * time.Second
+)
+
+// Config configures a Ledger. Node names the writer over all nodes and starts.
+type Config struct {
+	Store ring.Store
+	Node  string
+	Batch BatchConfig
+}
+
+// Ledger writes and settles claims. It may be used by several goroutines.
+type Ledger struct {
+	store ring.Store
+	node  string
+	batch *Batcher
+	next  atomic.Int64
+
+	mu         sync.Mutex
+	lease      ring.Lease
+	leaseUntil time.Time
+}
+
+// NewLedger returns a ledger; Run must be running for claims to be written.
+func NewLedger(c Config) *Ledger {
+	return &Ledger{store: c.Store, node: c.Node, batch: NewBatcher(c.Store, c.Batch)}
+}
+
+// Run writes batches until the context ends.
+func (l *Ledger) Run(ctx context.Context) { l.batch.Run(ctx) }
+
+// Held is a claim that this node wrote and may dispatch under.
+type Held struct {
+	ledger   *Ledger
+	key      string
+	record   Record
+	modified ring.Revision
+}
+
+// Claim tries to claim the request. It returns a Held to dispatch under, or
+// the stored record with its verdict, or a failure: the request was not run
+// and will not be run by this call.
+func (l *Ledger) Claim(ctx context.Context, id Identity, fingerprint string, runUntil time.Time) (*Held, Verdict, *Record, *ring.Failure) {
+	now := time.Now()
+	lease, err := l.currentLease(ctx, now)
+	if err != nil {
+		return nil, 0, nil, unavailable(now)
+	}
+	record := Record{
+		Writer:      fmt.Sprintf("%s/%d", l.node, l.next.Add(1)),
+		Fingerprint: fingerprint,
+		State:       StateClaimed,
+		RunUntil:    runUntil,
+	}
+	held := &Held{ledger: l, key: id.StoreKey(), record: record}
+	result, err := l.batch.Commit(ctx, held.txn(ring.Absent(held.key), lease), claimOrder)
+	switch {
+	case err == nil && result.Succeeded:
+		held.modified = result.Revision
+		return held, VerdictRun, nil, nil
+	case errors.Is(err, ErrBusy):
+		return nil, 0, nil, ring.FailUntil(ring.CodeClaimRate, now.Add(time.Second), "the store's share for claims is used up")
+	case err != nil && !errors.Is(err, ring.ErrOutcomeUnknown):
+		l.dropLease(lease)
+		return nil, 0, nil, unavailable(now)
+	}
+	return l.readBack(ctx, held, err != nil, lease)
+}
+
+// readBack looks at the stored claim after a write that was refused or whose
+// outcome is unknown.
+func (l *Ledger) readBack(ctx context.Context, held *Held, ambiguous bool, lease ring.Lease) (*Held, Verdict, *Record, *ring.Failure) {
+	stored, ok, err := l.store.Get(ctx, held.key)
+	now := time.Now()
+	if err != nil || !ok {
+		if !ambiguous {
+			l.dropLease(lease) // The guard or the lease failed; the key says it was not the guard.
+		}
+		go held.Release()
+		return nil, 0, nil, unavailable(now)
+	}
+	var record Record
+	if err := json.Unmarshal(stored.Value, &record); err != nil {
+		return nil, 0, nil, unavailable(now)
+	}
+	verdict := Judge(record, held.record.Writer, held.record.Fingerprint, now)
+	if verdict == VerdictRun {
+		held.modified = stored.Modified
+		return held, VerdictRun, nil, nil
+	}
+	return nil, verdict, &record, nil
+}
+
+func unavailable(now time.Time) *ring.Failure {
+	return ring.FailUntil(ring.CodeClaimUnavailable, now.Add(2*time.Second), "the request could not be claimed; it was not run")
+}
+
+func (l *Ledger) currentLease(ctx context.Context, now time.Time) (ring.Lease, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lease != 0 && now.Before(l.leaseUntil) {
+		return l.lease, nil
+	}
+	lease, err := l.store.Grant(ctx, retention)
+	if err != nil {
+		return 0, err
+	}
+	l.lease = lease
+	l.leaseUntil = now.Add(leaseSpan)
+	return lease, nil
+}
+
+func (l *Ledger) dropLease(lease ring.Lease) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lease == lease {
+		l.lease = 0
+	}
+}
+
+func (h *Held) txn(guard ring.Guard, lease ring.Lease) ring.Txn {
+	value, err := json.Marshal(h.record)
+	if err != nil {
+		panic(err) // A Record holds nothing that JSON cannot write.
+	}
+	return ring.Txn{
+		Guards: []ring.Guard{guard},
+		Writes: []ring.Write{{Key: h.key, Value: value, Lease: lease}},
+	}
+}
+
+// Done records the answer. It returns an error when the record could not be
+// written; the answer is still the caller's.
+func (h *Held) Done(ctx context.Context, a Answer) error {
+	a.Kept = len(a.Body) <= MaxBody
+	if !a.Kept {
+		a.Body = nil
+	}
+	h.record.State = StateDone
+	h.record.Answer = &a
+	return h.settle(ctx)
+}
+
+// Unknown records that the request may have run.
+func (h *Held) Unknown(ctx context.Context) error {
+	h.record.State = StateUnknown
+	return h.settle(ctx)
+}
+
+func (h *Held) settle(ctx context.Context) error {
+	var last error
+	for range settleTries {
+		lease, err := h.ledger.currentLease(ctx, time.Now())
+		if err == nil {
+			var result ring.TxnResult
+			result, err = h.ledger.batch.Commit(ctx, h.txn(ring.Unchanged(h.key, h.modified), lease), settleOrder)
+			if err == nil && result.Succeeded {
+				return nil
+			}
+			if err == nil && h.isSettled(ctx) {
+				return nil
+			}
+			if err == nil {
+				h.ledger.dropLease(lease)
+				err = errors.New("the claim changed or its lease is gone")
+			}
+		}
+		last = err
+		if !pause(ctx, settlePause) {
+			break
+		}
+	}
+	return fmt.Errorf("settle claim: %w", last)
+}
+
+// isSettled reports whether an earlier write of this settlement, whose answer
+// was lost, took effect.
+func (h *Held) isSettled(ctx context.Context) bool {
+	stored, ok, err := h.ledger.store.Get(ctx, h.key)
+	if err != nil || !ok {
+		return false
+	}
+	var record Record
+	if json.Unmarshal(stored.Value, &record) != nil {
+		return false
+	}
+	return record.Writer == h.record.Writer && record.State == h.record.State
+}
+
+// Release removes a claim under which nothing was and nothing will be
+// dispatched. It tries for a while, because the claim's write may still take
+// effect late.
+func (h *Held) Release() {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseSpan)
+	defer cancel()
+	for ctx.Err() == nil {
+		if h.removed(ctx) {
+			return
+		}
+		pause(ctx, time.Second)
+	}
+}
+
+func (h *Held) removed(ctx context.Context) bool {
+	guard := ring.Unchanged(h.key, h.modified)
+	if h.modified == 0 {
+		stored, ok, err := h.ledger.store.Get(ctx, h.key)
+		if err != nil || !ok {
+			return false
+		}
+		var record Record
+		if json.Unmarshal(stored.Value, &record) != nil || record.Writer != h.record.Writer {
+			return true
+		}
+		guard = ring.Unchanged(h.key, stored.Modified)
+	}
+	txn := ring.Txn{Guards: []ring.Guard{guard}, Writes: []ring.Write{{Key: h.key, Delete: true}}}
+	_, err := h.ledger.batch.Commit(ctx, txn, settleOrder)
+	return err == nil
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/deployment/configuration.go
@@ -0,0 +1,249 @@
+package deployment
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/strictjson"
+)
+
+// Configuration is a valid document with look-ups. It is read-only and may be
+// shared between goroutines.
+type Configuration struct {
+	document   Document
+	vms        map[ring.VM]VM
+	groups     map[ring.Group]Group
+	models     map[ring.Model]Model
+	services   map[ring.Service]Service
+	workspaces map[ring.Workspace]Workspace
+	keys       map[string]Caller
+}
+
+// Caller is who a bearer key belongs to.
+type Caller struct {
+	Workspace   Workspace
+	Application Application
+}
+
+// Parse reads text as JSON with comments, validates it and returns the
+// configuration, or all faults found as strictjson.Faults.
+func Parse(text []byte) (*Configuration, error) {
+	parsed, err := strictjson.Parse(text)
+	if err != nil {
+		return nil, err
+	}
+	var d Document
+	if err := parsed.Decode(&d); err != nil {
+		return nil, err
+	}
+	faults := validate(d)
+	for i := range faults {
+		faults[i].Position = parsed.At(faults[i].Path)
+	}
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return index(d), nil
+}
+
+// New validates a document. Faults carry paths but no positions.
+func New(d Document) (*Configuration, error) {
+	if err := validate(d).Err(); err != nil {
+		return nil, err
+	}
+	return index(d), nil
+}
+
+func index(d Document) *Configuration {
+	c := &Configuration{
+		document:   d.sorted(),
+		vms:        map[ring.VM]VM{},
+		groups:     map[ring.Group]Group{},
+		models:     map[ring.Model]Model{},
+		services:   map[ring.Service]Service{},
+		workspaces: map[ring.Workspace]Workspace{},
+		keys:       map[string]Caller{},
+	}
+	for _, v := range d.VMs {
+		c.vms[v.Name] = v
+	}
+	for _, g := range d.Groups {
+		c.groups[g.Name] = g
+	}
+	for _, m := range d.Models {
+		c.models[m.Name] = m
+	}
+	for _, s := range d.Services {
+		c.services[s.Name] = s
+	}
+	for _, w := range d.Workspaces {
+		c.workspaces[w.Name] = w
+		for _, a := range w.Applications {
+			c.keys[a.Key] = Caller{Workspace: w, Application: a}
+		}
+	}
+	return c
+}
+
+// Document returns the validated document, sorted by names.
+func (c *Configuration) Document() Document { return c.document }
+
+// VM looks a VM up.
+func (c *Configuration) VM(name ring.VM) (VM, bool) {
+	v, ok := c.vms[name]
+	return v, ok
+}
+
+// Group looks a group up.
+func (c *Configuration) Group(name ring.Group) (Group, bool) {
+	g, ok := c.groups[name]
+	return g, ok
+}
+
+// Groups returns all groups by name.
+func (c *Configuration) Groups() []Group { return c.document.Groups }
+
+// VMs returns all VMs by name.
+func (c *Configuration) VMs() []VM { return c.document.VMs }
+
+// Workspaces returns all workspaces by name.
+func (c *Configuration) Workspaces() []Workspace { return c.document.Workspaces }
+
+// Objective returns the weights of the two measures.
+func (c *Configuration) Objective() Objective { return c.document.Objective }
+
+// Service looks a plain service up.
+func (c *Configuration) Service(name ring.Service) (Service, bool) {
+	s, ok := c.services[name]
+	return s, ok
+}
+
+// Spec returns what the group has to load: its adapters carry versions.
+func (c *Configuration) Spec(g Group) ring.Spec {
+	spec := ring.Spec{Model: g.Model, Version: g.Version}
+	m := c.models[g.Model]
+	for _, name := range g.Adapters {
+		for _, a := range m.Adapters {
+			if a.Name == name {
+				spec.Adapters = append(spec.Adapters, VersionedAdapter(a))
+			}
+		}
+	}
+	return spec
+}
+
+// VersionedAdapter joins an adapter's name and version.
+func VersionedAdapter(a Adapter) ring.Adapter {
+	return ring.Adapter(fmt.Sprintf("%s@%s", a.Name, a.Version))
+}
+
+// HashKey returns the form in which a bearer key stands in a configuration.
+//
+// Example: the hash never reveals the key, and equal keys give equal hashes.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// Caller finds who a bearer key belongs to.
+func (c *Configuration) Caller(key string) (Caller, bool) {
+	caller, ok := c.keys[HashKey(key)]
+	return caller, ok
+}
+
+// Target is what a caller's model name stands for.
+type Target struct {
+	Model   ring.Model
+	Version string
+	Adapter ring.Adapter
+}
+
+// Target resolves "model", "model@version" and "model:adapter". Version is
+// empty when the caller does not ask for one.
+func (c *Configuration) Target(name string) (Target, bool) {
+	base, adapterName, hasAdapter := strings.Cut(name, ":")
+	modelName, version, pinned := strings.Cut(base, "@")
+	m, ok := c.models[ring.Model(modelName)]
+	if !ok {
+		return Target{}, false
+	}
+	t := Target{Model: m.Name, Version: version}
+	if pinned && !contains(m.Versions, version) {
+		return Target{}, false
+	}
+	if !hasAdapter {
+		return t, true
+	}
+	for _, a := range m.Adapters {
+		if string(a.Name) == adapterName {
+			t.Adapter = VersionedAdapter(a)
+			return t, true
+		}
+	}
+	return Target{}, false
+}
+
+// Names lists every model name that a caller of the application may use.
+func (c *Configuration) Names(a Application) []string {
+	var out []string
+	for _, m := range c.document.Models {
+		if !contains(a.Models, m.Name) {
+			continue
+		}
+		out = append(out, string(m.Name))
+		for _, ad := range m.Adapters {
+			out = append(out, fmt.Sprintf("%s:%s", m.Name, ad.Name))
+		}
+	}
+	return out
+}
+
+// Serves reports whether a group with this spec can answer for the target.
+func (t Target) Serves(spec ring.Spec) bool {
+	if spec.Model != t.Model {
+		return false
+	}
+	if t.Version != "" && spec.Version != t.Version {
+		return false
+	}
+	return t.Adapter == "" || contains(spec.Adapters, t.Adapter)
+}
+
+// MayUse reports whether the application may call the model.
+func (a Application) MayUse(m ring.Model) bool { return contains(a.Models, m) }
+
+// MayCall reports whether the application may call the plain service.
+func (a Application) MayCall(s ring.Service) bool { return contains(a.Services, s) }
+
+// IsOnce reports whether a call to the service is non-idempotent.
+func (s Service) IsOnce(method, path string) bool {
+	for _, route := range s.Once {
+		m, pattern, _ := strings.Cut(route, " ")
+		if m != method {
+			continue
+		}
+		if prefix, any := strings.CutSuffix(pattern, "*"); any && strings.HasPrefix(path, prefix) {
+			return true
+		}
+		if pattern == path {
+			return true
+		}
+	}
+	return false
+}
+
+// Span returns the service's time limit for one call.
+func (s Service) Span() time.Duration { return time.Duration(s.Timeout) }
+
+func contains[T comparable](items []T, want T) bool {
+	for _, i := range items {
+		if i == want {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/deployment/document.go
@@ -0,0 +1,143 @@
+// Package deployment holds the configuration that operators declare: VMs,
+// models, groups, workspaces and plain services.
+//
+// Terms:
+//
+//   - Document: the configuration as written; it may be wrong.
+//   - Configuration: a document that passed validation, with look-ups.
+//   - Once: a route of a plain service whose calls are non-idempotent.
+//
+// Invariants: a Configuration never changes after New; printing a Document
+// gives the same bytes for the same input; validation reports all faults.
+package deployment
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	ring "eelgrassring.dev"
+)
+
+// Duration is a time span that is written as text, such as "1.5s".
+type Duration time.Duration
+
+// MarshalJSON writes the span as text.
+func (d Duration) MarshalJSON() ([]byte, error) {
+	return json.Marshal(time.Duration(d).String())
+}
+
+// UnmarshalJSON reads a span from text.
+func (d *Duration) UnmarshalJSON(b []byte) error {
+	var text string
+	if err := json.Unmarshal(b, &text); err != nil {
+		return fmt.Errorf("want a duration such as %q", "1.5s")
+	}
+	span, err := time.ParseDuration(text)
+	if err != nil {
+		return fmt.Errorf("want a duration such as %q", "1.5s")
+	}
+	*d = Duration(span)
+	return nil
+}
+
+// Fencing says whether a backend server refuses orders with an old epoch.
+type Fencing string
+
+// The values of Fencing.
+const (
+	FencingChecked Fencing = "checked"
+	FencingIgnored Fencing = "ignored"
+)
+
+// Priority orders requests of one node's queue.
+type Priority string
+
+// The priorities, from first to last served.
+const (
+	PriorityHigh   Priority = "high"
+	PriorityNormal Priority = "normal"
+	PriorityLow    Priority = "low"
+)
+
+// Document is the configuration as an operator writes it.
+type Document struct {
+	Name       string      `json:"name"`
+	Objective  Objective   `json:"objective"`
+	VMs        []VM        `json:"vms"`
+	Models     []Model     `json:"models"`
+	Groups     []Group     `json:"groups"`
+	Workspaces []Workspace `json:"workspaces"`
+	Services   []Service   `json:"services"`
+}
+
+// Objective weighs group downtime against stranded accelerators; only the
+// ratio counts.
+type Objective struct {
+	Downtime float64 `json:"downtime"`
+	Stranded float64 `json:"stranded"`
+}
+
+// VM declares a machine for backend servers.
+type VM struct {
+	Name         ring.VM     `json:"name"`
+	Address      string      `json:"address"`
+	Zone         ring.Zone   `json:"zone"`
+	Domain       ring.Domain `json:"domain"`
+	Accelerators int         `json:"accelerators"`
+	Fencing      Fencing     `json:"fencing"`
+}
+
+// Model declares a base model, its versions and its adapters.
+type Model struct {
+	Name     ring.Model `json:"name"`
+	Versions []string   `json:"versions"`
+	Adapters []Adapter  `json:"adapters,omitempty"`
+}
+
+// Adapter declares an adapter of a model in one version.
+type Adapter struct {
+	Name    ring.Adapter `json:"name"`
+	Version string       `json:"version"`
+}
+
+// Group declares one replica: what it serves and how many VMs it spans. An
+// empty domain lets the controller choose. A group with a larger rank is made
+// whole first. Slots is how many requests the replica runs at a time.
+type Group struct {
+	Name     ring.Group     `json:"name"`
+	Model    ring.Model     `json:"model"`
+	Version  string         `json:"version"`
+	Adapters []ring.Adapter `json:"adapters,omitempty"`
+	Size     int            `json:"size"`
+	Domain   ring.Domain    `json:"domain,omitempty"`
+	Rank     int            `json:"rank,omitempty"`
+	Slots    int            `json:"slots"`
+}
+
+// Workspace declares a customer, its share and its limit over all nodes.
+type Workspace struct {
+	Name         ring.Workspace `json:"name"`
+	Weight       int            `json:"weight"`
+	Limit        int            `json:"limit"`
+	Applications []Application  `json:"applications"`
+}
+
+// Application declares a program of a workspace. Key is the hexadecimal
+// SHA-256 of its bearer key.
+type Application struct {
+	Name     ring.Application `json:"name"`
+	Key      string           `json:"key"`
+	Priority Priority         `json:"priority"`
+	Models   []ring.Model     `json:"models,omitempty"`
+	Services []ring.Service   `json:"services,omitempty"`
+}
+
+// Service declares a plain service. Once lists non-idempotent routes as
+// "METHOD /path"; a trailing "*" matches any rest of the path.
+type Service struct {
+	Name    ring.Service `json:"name"`
+	Servers []string     `json:"servers"`
+	Once    []string     `json:"once,omitempty"`
+	Timeout Duration     `json:"timeout"`
+}
--- /dev/null
+++ b/internal/etcd/client.go
@@ -0,0 +1,326 @@
+// Package etcd is the store adapter for key-value services that speak the
+// published etcd v3 API over gRPC.
+//
+// Terms: a nested transaction is a transaction that stands as one operation
+// of another; it lets independent transactions share one call.
+//
+// Invariants: a write whose answer is lost or late returns
+// ring.ErrOutcomeUnknown; a call that times out is never repeated on the
+// same connection, because that connection may be silent for good.
+package etcd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	ring "eelgrassring.dev"
+	pb "eelgrassring.dev/internal/etcd/etcdpb"
+)
+
+const (
+	// callTimeout bounds one call when the caller's context has no earlier
+	// deadline.
+	callTimeout = 2 * time.Second
+	// keepaliveInterval is the time after which an idle connection is probed.
+	keepaliveInterval = 10 * time.Second
+	// keepaliveTimeout is how long a probe may stay unanswered.
+	keepaliveTimeout = 2 * time.Second
+)
+
+// Config configures a Client. Address is the service's IP and port.
+type Config struct {
+	Address string
+}
+
+// Client implements ring.Store. It may be used by several goroutines.
+type Client struct {
+	address string
+
+	mu   sync.Mutex
+	conn *grpc.ClientConn
+}
+
+// New returns a client; it connects at the first call.
+func New(c Config) (*Client, error) {
+	client := &Client{address: c.Address}
+	if _, err := client.connection(); err != nil {
+		return nil, err
+	}
+	return client, nil
+}
+
+// Close closes the connection.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return nil
+	}
+	err := c.conn.Close()
+	c.conn = nil
+	return err
+}
+
+func (c *Client) connection() (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn != nil {
+		return c.conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+c.address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{
+			Time: keepaliveInterval, Timeout: keepaliveTimeout, PermitWithoutStream: true,
+		}))
+	if err != nil {
+		return nil, fmt.Errorf("store %s: %w", c.address, err)
+	}
+	c.conn = conn
+	return conn, nil
+}
+
+// discard drops a connection on which a call timed out.
+func (c *Client) discard(conn *grpc.ClientConn) {
+	c.mu.Lock()
+	if c.conn == conn {
+		c.conn = nil
+	}
+	c.mu.Unlock()
+	conn.Close()
+}
+
+func call[T any](ctx context.Context, c *Client, do func(context.Context, *grpc.ClientConn) (T, error)) (T, error) {
+	var zero T
+	conn, err := c.connection()
+	if err != nil {
+		return zero, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out, err := do(ctx, conn)
+	if status.Code(err) == codes.DeadlineExceeded || errors.Is(err, context.DeadlineExceeded) {
+		c.discard(conn)
+	}
+	return out, err
+}
+
+// Get implements ring.Store.
+func (c *Client) Get(ctx context.Context, key string) (ring.Entry, bool, error) {
+	r, err := call(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*pb.RangeResponse, error) {
+		return pb.NewKVClient(conn).Range(ctx, &pb.RangeRequest{Key: []byte(key)})
+	})
+	if err != nil {
+		return ring.Entry{}, false, fmt.Errorf("get %s: %w", key, err)
+	}
+	if len(r.Kvs) == 0 {
+		return ring.Entry{}, false, nil
+	}
+	return entryOf(r.Kvs[0]), true, nil
+}
+
+// List implements ring.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]ring.Entry, ring.Revision, error) {
+	r, err := call(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*pb.RangeResponse, error) {
+		return pb.NewKVClient(conn).Range(ctx, &pb.RangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix)})
+	})
+	if err != nil {
+		return nil, 0, fmt.Errorf("list %s: %w", prefix, err)
+	}
+	out := make([]ring.Entry, len(r.Kvs))
+	for i, kv := range r.Kvs {
+		out[i] = entryOf(kv)
+	}
+	return out, ring.Revision(r.Header.GetRevision()), nil
+}
+
+// Commit implements ring.Store.
+func (c *Client) Commit(ctx context.Context, txn ring.Txn) (ring.TxnResult, error) {
+	r, err := call(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*pb.TxnResponse, error) {
+		return pb.NewKVClient(conn).Txn(ctx, txnRequest(txn))
+	})
+	if err != nil {
+		return ring.TxnResult{}, writeError("commit", err)
+	}
+	return ring.TxnResult{Succeeded: r.Succeeded, Revision: ring.Revision(r.Header.GetRevision())}, nil
+}
+
+// CommitEach implements ring.Store with one call of nested transactions.
+func (c *Client) CommitEach(ctx context.Context, txns []ring.Txn) ([]ring.TxnResult, error) {
+	outer := &pb.TxnRequest{}
+	for _, t := range txns {
+		op := &pb.RequestOp{Request: &pb.RequestOp_RequestTxn{RequestTxn: txnRequest(t)}}
+		outer.Success = append(outer.Success, op)
+	}
+	r, err := call(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*pb.TxnResponse, error) {
+		return pb.NewKVClient(conn).Txn(ctx, outer)
+	})
+	if err != nil {
+		return nil, writeError("commit batch", err)
+	}
+	if len(r.Responses) != len(txns) {
+		return nil, fmt.Errorf("commit batch: %d answers to %d transactions: %w", len(r.Responses), len(txns), ring.ErrOutcomeUnknown)
+	}
+	out := make([]ring.TxnResult, len(txns))
+	for i, one := range r.Responses {
+		out[i] = ring.TxnResult{Succeeded: one.GetResponseTxn().GetSucceeded(), Revision: ring.Revision(r.Header.GetRevision())}
+	}
+	return out, nil
+}
+
+// Grant implements ring.Store. The service rounds ttl up to whole seconds.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (ring.Lease, error) {
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	r, err := call(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*pb.LeaseGrantResponse, error) {
+		return pb.NewLeaseClient(conn).LeaseGrant(ctx, &pb.LeaseGrantRequest{TTL: seconds})
+	})
+	if err != nil {
+		return 0, writeError("grant lease", err)
+	}
+	return ring.Lease(r.ID), nil
+}
+
+// Renew implements ring.Store.
+func (c *Client) Renew(ctx context.Context, lease ring.Lease) error {
+	r, err := call(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*pb.LeaseKeepAliveResponse, error) {
+		return keepAliveOnce(ctx, conn, lease)
+	})
+	if err != nil {
+		return fmt.Errorf("renew lease: %w", err)
+	}
+	if r.TTL <= 0 {
+		return ring.ErrLeaseLost
+	}
+	return nil
+}
+
+func keepAliveOnce(ctx context.Context, conn *grpc.ClientConn, lease ring.Lease) (*pb.LeaseKeepAliveResponse, error) {
+	stream, err := pb.NewLeaseClient(conn).LeaseKeepAlive(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.CloseSend()
+	if err := stream.Send(&pb.LeaseKeepAliveRequest{ID: int64(lease)}); err != nil {
+		return nil, err
+	}
+	return stream.Recv()
+}
+
+// Revoke implements ring.Store.
+func (c *Client) Revoke(ctx context.Context, lease ring.Lease) error {
+	_, err := call(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*pb.LeaseRevokeResponse, error) {
+		return pb.NewLeaseClient(conn).LeaseRevoke(ctx, &pb.LeaseRevokeRequest{ID: int64(lease)})
+	})
+	if err != nil {
+		return writeError("revoke lease", err)
+	}
+	return nil
+}
+
+// Watch implements ring.Store. It uses a connection of its own, so that a
+// connection that is dropped for a late call does not end the watch.
+func (c *Client) Watch(ctx context.Context, prefix string, from ring.Revision, sink func(ring.Changes)) error {
+	conn, err := grpc.NewClient("passthrough:///"+c.address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}))
+	if err != nil {
+		return fmt.Errorf("watch %s: %w", prefix, err)
+	}
+	defer conn.Close()
+	stream, err := pb.NewWatchClient(conn).Watch(ctx)
+	if err != nil {
+		return fmt.Errorf("watch %s: %w", prefix, err)
+	}
+	create := &pb.WatchCreateRequest{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix), StartRevision: int64(from)}
+	if err := stream.Send(&pb.WatchRequest{RequestUnion: &pb.WatchRequest_CreateRequest{CreateRequest: create}}); err != nil {
+		return fmt.Errorf("watch %s: %w", prefix, err)
+	}
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			return fmt.Errorf("watch %s: %w", prefix, err)
+		}
+		if r.Canceled {
+			return fmt.Errorf("watch %s: ended by the service: %s", prefix, r.CancelReason)
+		}
+		sink(changesOf(r))
+	}
+}
+
+func changesOf(r *pb.WatchResponse) ring.Changes {
+	out := ring.Changes{Revision: ring.Revision(r.Header.GetRevision())}
+	for _, e := range r.Events {
+		out.Changes = append(out.Changes, ring.Change{Entry: entryOf(e.Kv), Deleted: e.Type == pb.Event_DELETE})
+	}
+	return out
+}
+
+// writeError tells errors after which a write certainly had no effect from
+// those after which it may have had one.
+func writeError(what string, err error) error {
+	switch status.Code(err) {
+	case codes.NotFound:
+		return fmt.Errorf("%s: %w: %w", what, ring.ErrLeaseLost, err)
+	case codes.InvalidArgument, codes.ResourceExhausted, codes.Unimplemented, codes.PermissionDenied, codes.FailedPrecondition:
+		return fmt.Errorf("%s: %w", what, err)
+	}
+	return fmt.Errorf("%s: %w: %w", what, ring.ErrOutcomeUnknown, err)
+}
+
+func entryOf(kv *pb.KeyValue) ring.Entry {
+	return ring.Entry{
+		Key:      string(kv.Key),
+		Value:    kv.Value,
+		Created:  ring.Revision(kv.CreateRevision),
+		Modified: ring.Revision(kv.ModRevision),
+		Lease:    ring.Lease(kv.Lease),
+	}
+}
+
+func txnRequest(t ring.Txn) *pb.TxnRequest {
+	out := &pb.TxnRequest{}
+	for _, g := range t.Guards {
+		key := []byte(g.Key)
+		if g.CheckCreated {
+			out.Compare = append(out.Compare, &pb.Compare{Key: key, Target: pb.Compare_CREATE,
+				TargetUnion: &pb.Compare_CreateRevision{CreateRevision: int64(g.Created)}})
+		}
+		if g.CheckModified {
+			out.Compare = append(out.Compare, &pb.Compare{Key: key, Target: pb.Compare_MOD,
+				TargetUnion: &pb.Compare_ModRevision{ModRevision: int64(g.Modified)}})
+		}
+	}
+	for _, w := range t.Writes {
+		out.Success = append(out.Success, writeOp(w))
+	}
+	return out
+}
+
+func writeOp(w ring.Write) *pb.RequestOp {
+	if w.Delete {
+		return &pb.RequestOp{Request: &pb.RequestOp_RequestDeleteRange{
+			RequestDeleteRange: &pb.DeleteRangeRequest{Key: []byte(w.Key)}}}
+	}
+	return &pb.RequestOp{Request: &pb.RequestOp_RequestPut{
+		RequestPut: &pb.PutRequest{Key: []byte(w.Key), Value: w.Value, Lease: int64(w.Lease)}}}
+}
+
+// PrefixEnd returns the first key after all keys with the prefix.
+func PrefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/internal/gateway/explain.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"fmt"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+	"eelgrassring.dev/internal/limit"
+	"eelgrassring.dev/internal/node"
+)
+
+// Explanation says what would happen to a request, and why.
+type Explanation struct {
+	Outcome string        `json:"outcome"`
+	Code    int           `json:"code,omitempty"`
+	Reason  string        `json:"reason"`
+	Running int           `json:"running"`
+	Share   int           `json:"share"`
+	Limit   int           `json:"limit"`
+	Groups  []GroupReason `json:"groups"`
+}
+
+// GroupReason says why a group could or could not take the request.
+type GroupReason struct {
+	Group  ring.Group  `json:"group"`
+	Serves bool        `json:"serves"`
+	Reason node.Reason `json:"reason,omitempty"`
+	VM     ring.VM     `json:"vm,omitempty"`
+	Load   float64     `json:"load"`
+	Slots  int         `json:"slots"`
+}
+
+// Explain tells what would become of a request now.
+func (s *Server) Explain(w ring.Workspace, a ring.Application, model string) Explanation {
+	c, _ := s.table.Configuration()
+	if c == nil {
+		return refusal(ring.CodeNoConfiguration, "no configuration is in force yet")
+	}
+	caller, ok := findCaller(c, w, a)
+	if !ok {
+		return refusal(ring.CodeBadKey, fmt.Sprintf("no application %s in workspace %s", a, w))
+	}
+	target, ok := c.Target(model)
+	if !ok {
+		return refusal(ring.CodeUnknownModel, fmt.Sprintf("no model %q", model))
+	}
+	if !caller.Application.MayUse(target.Model) {
+		return refusal(ring.CodeNotAllowed, fmt.Sprintf("application %s may not use model %q", a, target.Model))
+	}
+	return s.explainTarget(c, caller, target, time.Now())
+}
+
+func refusal(code ring.Code, reason string) Explanation {
+	return Explanation{Outcome: "refused", Code: int(code), Reason: reason}
+}
+
+func findCaller(c *deployment.Configuration, w ring.Workspace, a ring.Application) (deployment.Caller, bool) {
+	for _, one := range c.Workspaces() {
+		if one.Name != w {
+			continue
+		}
+		for _, app := range one.Applications {
+			if app.Name == a {
+				return deployment.Caller{Workspace: one, Application: app}, true
+			}
+		}
+	}
+	return deployment.Caller{}, false
+}
+
+func (s *Server) explainTarget(c *deployment.Configuration, caller deployment.Caller, target deployment.Target, now time.Time) Explanation {
+	s.scheduler.mu.Lock()
+	own := limit.Demand{Running: s.scheduler.running[caller.Workspace.Name], Queued: s.scheduler.queue.LenOf(caller.Workspace.Name)}
+	s.scheduler.mu.Unlock()
+	view := s.table.LimitView(caller.Workspace.Name, caller.Workspace.Limit, own, now)
+	out := Explanation{Running: own.Running, Share: limit.Share(view), Limit: view.Limit}
+	able, open := 0, 0
+	for _, d := range c.Groups() {
+		if d.Model != target.Model {
+			continue
+		}
+		g := s.table.Group(d.Name, now)
+		one := GroupReason{Group: d.Name, Serves: target.Serves(g.Record.Record.Spec), Reason: g.Reason, VM: g.Culprit, Load: g.Load, Slots: d.Slots}
+		out.Groups = append(out.Groups, one)
+		if one.Serves && one.Reason == node.ReasonNone {
+			able++
+			if one.Load < float64(d.Slots) {
+				open++
+			}
+		}
+	}
+	switch {
+	case able == 0:
+		out.Outcome, out.Code, out.Reason = "waits or refused", int(ring.CodeNoGroup), "no whole group serves the model now"
+	case !limit.Admits(view):
+		out.Outcome, out.Reason = "waits", "the workspace is at its limit, or at this node's share of it"
+	case open == 0:
+		out.Outcome, out.Reason = "waits", "no group has a free slot"
+	default:
+		out.Outcome, out.Reason = "starts", fmt.Sprintf("%d of %d whole groups have a free slot", open, able)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/failure.go
@@ -0,0 +1,87 @@
+package gateway
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/openai"
+)
+
+// The headers of a failure. The official clients of the API obey
+// x-should-retry before the status.
+const (
+	headerShouldRetry = "X-Should-Retry"
+	headerRan         = "Eelgrass-Ran"
+	headerCode        = "Eelgrass-Code"
+	// headerReplayed marks an answer that was recorded by an earlier try.
+	headerReplayed = "Eelgrass-Replayed"
+)
+
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:]) // Read never fails; see crypto/rand.
+	return "req-" + hex.EncodeToString(b[:])
+}
+
+// fail gives the final answer to a request that has no other.
+func (s *Server) fail(w http.ResponseWriter, c *call, f *ring.Failure) {
+	info := f.Code.Info()
+	h := w.Header()
+	h.Set(headerCode, strconv.Itoa(int(f.Code)))
+	h.Set(headerRan, string(info.Ran))
+	h.Set(headerShouldRetry, strconv.FormatBool(info.Retry))
+	if !f.RetryAt.IsZero() {
+		wait := max(time.Until(f.RetryAt), 0)
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(wait.Seconds()))))
+		h.Set("Retry-After-Ms", strconv.FormatInt(wait.Milliseconds(), 10))
+	}
+	s.count(c, f)
+	writeJSON(w, info.Status, errorBody(f))
+}
+
+func (s *Server) count(c *call, f *ring.Failure) {
+	workspace, id := "", ""
+	if c != nil {
+		workspace, id = string(c.caller.Workspace.Name), c.id
+	}
+	s.config.Metrics.Count("failures", 1, "workspace", workspace, "code", strconv.Itoa(int(f.Code)))
+	s.config.Log.Write(event.RequestFailed, slog.String("request", id), slog.String("workspace", workspace), slog.Int("code", int(f.Code)))
+}
+
+func errorBody(f *ring.Failure) openai.ErrorBody {
+	info := f.Code.Info()
+	kind := "server_error"
+	if info.Status < http.StatusInternalServerError {
+		kind = "invalid_request_error"
+	}
+	return openai.ErrorBody{Error: openai.Error{
+		Message: f.Message, Type: kind, Code: info.Name, Number: int(f.Code), Ran: string(info.Ran),
+	}}
+}
+
+// failStream ends a stream that has begun with an error event. The stream has
+// no [DONE], so no client takes it for whole.
+func (s *Server) failStream(w http.ResponseWriter, c *call, f *ring.Failure) {
+	s.count(c, f)
+	text, err := json.Marshal(errorBody(f))
+	if err != nil {
+		return
+	}
+	fmt.Fprintf(w, "data: %s\n\n", text)
+	flush(w)
+}
+
+func flush(w http.ResponseWriter) {
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
--- /dev/null
+++ b/internal/gateway/relay.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/engine"
+	"eelgrassring.dev/internal/metric"
+	"eelgrassring.dev/internal/node"
+	"eelgrassring.dev/internal/openai"
+)
+
+// relay passes one request's answer on to its caller, over several tries.
+type relay struct {
+	server *Server
+	w      http.ResponseWriter
+	call   *call
+	query  *completion
+	// began is set once the caller has a byte of the answer.
+	began bool
+	// text is what the caller has of the answer, and chunks in how many
+	// pieces it came.
+	text   string
+	chunks int
+	// first is the identity of the first try's answer, which all chunks keep.
+	first string
+	// seen is how much of the text the current try has repeated.
+	seen int
+	// record keeps the raw answer for a claim.
+	record *bytes.Buffer
+	status int
+}
+
+// mayGoOn reports whether another try may continue the answer.
+func (o *relay) mayGoOn() bool {
+	return !o.began || (o.query.stream && o.query.spliceable)
+}
+
+// end gives the final answer after the last try failed.
+func (o *relay) end(err *tryError) {
+	f := o.failure(err)
+	if o.began {
+		o.server.failStream(o.w, o.call, f)
+		return
+	}
+	o.server.fail(o.w, o.call, f)
+}
+
+func (o *relay) failure(err *tryError) *ring.Failure {
+	back := time.Now().Add(time.Second)
+	switch {
+	case err.diverged:
+		return ring.Fail(ring.CodeStreamDiverged, "the stream broke, and a replay gave another text; what was sent stands as a part")
+	case o.began:
+		return ring.Fail(ring.CodeStreamBroken, "the stream broke; what was sent stands as a part")
+	case err.reach == reachNone:
+		return ring.FailUntil(ring.CodeUnreachable, back, "no backend server could be reached")
+	case err.reach == reachRefused:
+		return ring.FailUntil(ring.CodeBackendRefused, back, "the backend servers refused the request")
+	default:
+		return ring.Fail(ring.CodeOutcomeUnknown, "the backend server gave no whole answer")
+	}
+}
+
+// try dispatches the request once and passes the answer on.
+func (o *relay) try(ctx context.Context, route node.Route, isFresh bool) *tryError {
+	s := o.server
+	ctx, dog := newWatchdog(ctx, s.config.First)
+	defer dog.stop()
+	offset := 0
+	if isFresh && o.query.stream {
+		offset = o.chunks
+	}
+	req, err := o.query.request(o.call, route, offset)
+	if err != nil {
+		return &tryError{reach: reachNone, err: err}
+	}
+	s.config.Metrics.Observe(metric.SpanHop, o.call.class, time.Since(o.call.begin))
+	var t wire
+	resp, failed := s.send(ctx, req, isFresh, &t)
+	if failed != nil {
+		return failed
+	}
+	defer resp.Body.Close()
+	if s.isForeign(o.call, resp) {
+		return &tryError{reach: reachSent, err: fmt.Errorf("answer of another request")}
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return &tryError{reach: reachSent, err: fmt.Errorf("backend server failed: status %d", resp.StatusCode)}
+	}
+	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+		return o.passWhole(resp)
+	}
+	o.seen = resumedAt(resp, offset, len(o.text))
+	return o.passStream(resp, route, dog)
+}
+
+// resumedAt returns how much of the text the try will not repeat: all of it
+// when the backend server confirms the offset, else none.
+func resumedAt(resp *http.Response, offset, length int) int {
+	if offset > 0 && resp.Header.Get(engine.HeaderOffset) == strconv.Itoa(offset) {
+		return length
+	}
+	return 0
+}
+
+// passWhole passes an answer on that is not a stream, once it is whole.
+func (o *relay) passWhole(resp *http.Response) *tryError {
+	body, err := readAnswer(resp)
+	if err != nil {
+		return &tryError{reach: reachSent, err: err}
+	}
+	if o.began {
+		return &tryError{reach: reachSent, err: fmt.Errorf("a stream went on as no stream: status %d", resp.StatusCode)}
+	}
+	o.server.config.Metrics.Observe(metric.SpanFirst, o.call.class, time.Since(o.call.begin))
+	o.head(resp)
+	o.write(body)
+	return nil
+}
+
+func (o *relay) head(resp *http.Response) {
+	o.began = true
+	o.status = resp.StatusCode
+	h := o.w.Header()
+	h.Set("Content-Type", resp.Header.Get("Content-Type"))
+	if o.query.stream {
+		h.Set("Cache-Control", "no-cache")
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		h.Set(headerRan, string(ring.RanNo))
+		h.Set(headerShouldRetry, "false")
+	}
+	o.w.WriteHeader(resp.StatusCode)
+}
+
+func (o *relay) write(b []byte) {
+	if o.record != nil {
+		o.record.Write(b)
+	}
+	_, _ = o.w.Write(b) // A caller that is gone ends the request's context.
+}
+
+// passStream passes a stream on until it is whole.
+func (o *relay) passStream(resp *http.Response, route node.Route, dog *watchdog) *tryError {
+	s := o.server
+	reader := bufio.NewReader(resp.Body)
+	last := time.Time{}
+	for {
+		data, err := readEvent(reader)
+		if err != nil {
+			return &tryError{reach: reachSent, err: fmt.Errorf("stream broke: %w", err)}
+		}
+		dog.feed(s.config.Gap)
+		now := time.Now()
+		if !last.IsZero() {
+			s.config.Metrics.Observe(metric.SpanGap, o.call.class, now.Sub(last))
+			s.table.ObserveGap(route.Group, now.Sub(last))
+		}
+		last = now
+		if !o.began {
+			s.config.Metrics.Observe(metric.SpanFirst, o.call.class, time.Since(o.call.begin))
+			o.head(resp)
+		}
+		if string(data) == "[DONE]" {
+			if o.seen < len(o.text) {
+				return &tryError{diverged: true, err: fmt.Errorf("replay ended early")}
+			}
+			o.event(data)
+			return nil
+		}
+		if failed := o.chunk(data); failed != nil {
+			return failed
+		}
+	}
+}
+
+// chunk passes on what the caller does not have of one chunk.
+func (o *relay) chunk(data []byte) *tryError {
+	c, ok := chunkText(data)
+	if !ok {
+		return &tryError{reach: reachSent, err: fmt.Errorf("unreadable chunk")}
+	}
+	if o.first == "" {
+		o.first = c.ID
+	}
+	text := c.Text()
+	if o.seen == len(o.text) && c.ID == o.first {
+		o.take(text)
+		o.event(data)
+		return nil
+	}
+	repeated := o.text[o.seen:]
+	overlap := min(len(repeated), len(text))
+	if text[:overlap] != repeated[:overlap] {
+		return &tryError{diverged: true, err: fmt.Errorf("replay gave another text after %d bytes", o.seen)}
+	}
+	o.seen += overlap
+	if text != "" && overlap == len(text) {
+		return nil // The caller has this chunk.
+	}
+	if o.seen < len(o.text) {
+		return nil // A chunk without text before the splice.
+	}
+	o.take(text[overlap:])
+	return o.rewritten(c, text[overlap:])
+}
+
+func (o *relay) take(text string) {
+	if text == "" {
+		return
+	}
+	o.text += text
+	o.seen = len(o.text)
+	o.chunks++
+}
+
+// rewritten passes a chunk of a later try on as one of the first.
+func (o *relay) rewritten(c openai.Completion, text string) *tryError {
+	c.ID = o.first
+	if len(c.Choices) > 0 {
+		switch {
+		case c.Choices[0].Delta != nil:
+			c.Choices[0].Delta.Content = text
+		case c.Choices[0].Text != nil:
+			c.Choices[0].Text = &text
+		}
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		return &tryError{reach: reachSent, err: err}
+	}
+	o.event(data)
+	return nil
+}
+
+func (o *relay) event(data []byte) {
+	o.write([]byte("data: "))
+	o.write(data)
+	o.write([]byte("\n\n"))
+	flush(o.w)
+}
+
+// readEvent returns the data of the next event. The end of the input is an
+// error: a whole stream ends by its own last event.
+func readEvent(r *bufio.Reader) ([]byte, error) {
+	var data []byte
+	for {
+		line, err := r.ReadBytes('\n')
+		if err != nil {
+			if err == io.EOF {
+				err = io.ErrUnexpectedEOF
+			}
+			return nil, err
+		}
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) == 0 && data != nil {
+			return data, nil
+		}
+		if rest, ok := bytes.CutPrefix(line, []byte("data:")); ok {
+			data = append(data, bytes.TrimPrefix(rest, []byte(" "))...)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/schedule.go
@@ -0,0 +1,281 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+	"eelgrassring.dev/internal/limit"
+	"eelgrassring.dev/internal/node"
+	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/routing"
+)
+
+// pumpInterval is how often waiting requests are looked at without a cause.
+const pumpInterval = 50 * time.Millisecond
+
+// noGroupRetry is when a caller whose model no group serves should come back.
+const noGroupRetry = 2 * time.Second
+
+// Ask is a request for a start. A nil Target needs no group.
+type Ask struct {
+	Workspace deployment.Workspace
+	Priority  deployment.Priority
+	Target    *deployment.Target
+	Key       uint64
+	Deadline  time.Time
+}
+
+type waiter struct {
+	ask    Ask
+	done   chan *Grant
+	failed chan *ring.Failure
+}
+
+// Grant is a started request's place in its workspace's limit and at a group.
+type Grant struct {
+	scheduler *Scheduler
+	ask       Ask
+	route     node.Route
+	tried     map[ring.Group]bool
+	// resumed is set once a broken stream was resumed at its group.
+	resumed bool
+}
+
+// Route returns the group that the request may go to.
+func (g *Grant) Route() node.Route { return g.route }
+
+// Scheduler starts requests in a fair order while their workspace is within
+// its limit and a group has a free slot.
+type Scheduler struct {
+	table  *node.Table
+	picker routing.Picker
+	random *rand.Rand
+
+	mu      sync.Mutex
+	queue   *limit.Queue
+	waiters map[uint64]*waiter
+	next    uint64
+	running map[ring.Workspace]int
+	// The candidate slices are reused between decisions.
+	candidates []routing.Candidate
+	routes     []node.Route
+}
+
+// NewScheduler returns a scheduler over the node's table.
+func NewScheduler(t *node.Table, queueLimit int) *Scheduler {
+	return &Scheduler{
+		table:   t,
+		picker:  routing.Affinity{},
+		random:  rand.New(rand.NewPCG(1, 2)),
+		queue:   limit.NewQueue(queueLimit),
+		waiters: map[uint64]*waiter{},
+		running: map[ring.Workspace]int{},
+	}
+}
+
+// Run looks at the waiting requests until the context ends.
+func (s *Scheduler) Run(ctx context.Context) {
+	ticker := time.NewTicker(pumpInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.table.Changed():
+		case <-ticker.C:
+		}
+		s.mu.Lock()
+		s.pump(time.Now())
+		s.mu.Unlock()
+	}
+}
+
+// Demand implements node.DemandSource.
+func (s *Scheduler) Demand() map[ring.Workspace]node.PeerDemand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[ring.Workspace]node.PeerDemand{}
+	for w, n := range s.running {
+		out[w] = node.PeerDemand{Running: n, Queued: s.queue.LenOf(w)}
+	}
+	return out
+}
+
+// Acquire waits for a start. It fails at once when the request cannot start
+// before its deadline.
+func (s *Scheduler) Acquire(ctx context.Context, a Ask) (*Grant, *ring.Failure) {
+	now := time.Now()
+	s.mu.Lock()
+	if f := s.hopeless(a, now); f != nil {
+		s.mu.Unlock()
+		return nil, f
+	}
+	if s.queue.LenOf(a.Workspace.Name) == 0 && s.mayRun(a.Workspace, now) {
+		if g := s.start(a, nil, now); g != nil {
+			s.queue.Started(now)
+			s.mu.Unlock()
+			return g, nil
+		}
+	}
+	s.next++
+	id := s.next
+	w := &waiter{ask: a, done: make(chan *Grant, 1), failed: make(chan *ring.Failure, 1)}
+	failure := s.queue.Add(a.Workspace.Name, a.Workspace.Weight, limit.Waiting{ID: id, Priority: a.Priority, Deadline: a.Deadline}, now)
+	if failure != nil {
+		s.mu.Unlock()
+		if !s.mayRunLocked(a.Workspace, now) {
+			failure = ring.FailUntil(ring.CodeWorkspaceLimit, failure.RetryAt, "workspace %s is at its limit of %d running requests", a.Workspace.Name, a.Workspace.Limit)
+		}
+		return nil, failure
+	}
+	s.waiters[id] = w
+	s.mu.Unlock()
+	return s.wait(ctx, id, w)
+}
+
+func (s *Scheduler) wait(ctx context.Context, id uint64, w *waiter) (*Grant, *ring.Failure) {
+	select {
+	case g := <-w.done:
+		return g, nil
+	case f := <-w.failed:
+		return nil, f
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	removed := s.queue.Remove(id)
+	delete(s.waiters, id)
+	s.mu.Unlock()
+	if !removed {
+		select {
+		case g := <-w.done:
+			g.Release()
+		default:
+		}
+	}
+	return nil, ring.Fail(ring.CodeDeadline, "the caller went away")
+}
+
+// hopeless refuses a request at once when no group will serve its target soon.
+func (s *Scheduler) hopeless(a Ask, now time.Time) *ring.Failure {
+	if a.Target == nil {
+		return nil
+	}
+	for _, r := range s.table.Records() {
+		soon := r.Record.Phase == placement.PhaseForming || r.Record.Phase == placement.PhaseReady
+		if soon && a.Target.Serves(r.Record.Spec) {
+			return nil
+		}
+	}
+	return ring.FailUntil(ring.CodeNoGroup, now.Add(noGroupRetry), "no group serves model %q now", a.Target.Model)
+}
+
+func (s *Scheduler) mayRunLocked(w deployment.Workspace, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.mayRun(w, now)
+}
+
+// mayRun asks whether the workspace is within its limit; mu is held.
+func (s *Scheduler) mayRun(w deployment.Workspace, now time.Time) bool {
+	own := limit.Demand{Running: s.running[w.Name], Queued: s.queue.LenOf(w.Name)}
+	return limit.Admits(s.table.LimitView(w.Name, w.Limit, own, now))
+}
+
+// start takes a place for the request, or returns nil; mu is held.
+func (s *Scheduler) start(a Ask, tried map[ring.Group]bool, now time.Time) *Grant {
+	g := &Grant{scheduler: s, ask: a, tried: tried}
+	if a.Target != nil {
+		route, ok := s.pick(a, tried, now)
+		if !ok {
+			return nil
+		}
+		g.route = route
+		s.table.Begin(route.Group)
+	}
+	s.running[a.Workspace.Name]++
+	return g
+}
+
+func (s *Scheduler) pick(a Ask, tried map[ring.Group]bool, now time.Time) (node.Route, bool) {
+	s.candidates, s.routes = s.table.Candidates(*a.Target, tried, now, s.candidates, s.routes)
+	if len(s.candidates) == 0 {
+		return node.Route{}, false
+	}
+	i := s.picker.Pick(a.Key, s.candidates, now, s.random)
+	if i < 0 {
+		return node.Route{}, false
+	}
+	return s.routes[i], true
+}
+
+// pump starts what can start and gives up what is too late; mu is held.
+func (s *Scheduler) pump(now time.Time) {
+	for _, r := range s.queue.Expired(now) {
+		s.giveUp(r.ID, ring.FailUntil(ring.CodeDeadline, now.Add(time.Second), "the request did not start before its deadline"))
+	}
+	limits := map[ring.Workspace]deployment.Workspace{}
+	for _, w := range s.waiters {
+		limits[w.ask.Workspace.Name] = w.ask.Workspace
+	}
+	for {
+		var granted *Grant
+		r, ok := s.queue.Next(
+			func(w ring.Workspace) bool { return s.mayRun(limits[w], now) },
+			func(r limit.Waiting) bool {
+				granted = s.start(s.waiters[r.ID].ask, nil, now)
+				return granted != nil
+			}, now)
+		if !ok {
+			return
+		}
+		s.waiters[r.ID].done <- granted
+		delete(s.waiters, r.ID)
+	}
+}
+
+func (s *Scheduler) giveUp(id uint64, f *ring.Failure) {
+	if w, ok := s.waiters[id]; ok {
+		w.failed <- f
+		delete(s.waiters, id)
+	}
+}
+
+// Again moves the grant to a group that was not tried; it reports false when
+// none has a free slot now.
+func (g *Grant) Again() bool {
+	s := g.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g.tried == nil {
+		g.tried = map[ring.Group]bool{}
+	}
+	g.tried[g.route.Group] = true
+	route, ok := s.pick(g.ask, g.tried, time.Now())
+	if !ok {
+		return false
+	}
+	s.table.End(g.route.Group)
+	s.table.Begin(route.Group)
+	g.route = route
+	return true
+}
+
+// Release gives the place back.
+func (g *Grant) Release() {
+	s := g.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if g.ask.Target != nil {
+		s.table.End(g.route.Group)
+	}
+	w := g.ask.Workspace.Name
+	s.running[w]--
+	if s.running[w] == 0 {
+		delete(s.running, w)
+	}
+	s.pump(time.Now())
+}
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,118 @@
+// Package metric keeps the counters and histograms of one node and writes
+// them in the text format that the usual collectors read.
+//
+// Terms: a class is a workspace with a priority.
+//
+// Invariant: the same values print the same bytes.
+package metric
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+)
+
+// sampleSize and sampleDecay configure the histograms' samples.
+const (
+	sampleSize  = 1028
+	sampleDecay = 0.015
+)
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// Class names whose requests a histogram covers.
+type Class struct {
+	Workspace ring.Workspace
+	Priority  deployment.Priority
+}
+
+// Span is a measured part of a request.
+type Span string
+
+// The spans, in seconds. The hop is the time from the end of a request's body
+// to its dispatch, less the wait in the queue.
+const (
+	SpanQueue Span = "queue"
+	SpanHop   Span = "hop"
+	SpanFirst Span = "first_token"
+	SpanGap   Span = "token_gap"
+	SpanTotal Span = "total"
+)
+
+// Registry holds the metrics of one node.
+type Registry struct {
+	registry metrics.Registry
+}
+
+// New returns an empty registry.
+func New() *Registry {
+	return &Registry{registry: metrics.NewRegistry()}
+}
+
+// Observe adds a sample to the histogram of a span and class.
+func (r *Registry) Observe(s Span, c Class, d time.Duration) {
+	name := fmt.Sprintf("eelgrass_%s_seconds{workspace=%q,class=%q}", s, c.Workspace, c.Priority)
+	h := r.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	}).(metrics.Histogram)
+	h.Update(int64(d))
+}
+
+// Count adds to a counter. Labels come in pairs of name and value.
+func (r *Registry) Count(name string, n int64, labels ...string) {
+	full := "eelgrass_" + name + "_total" + labelText(labels)
+	r.registry.GetOrRegister(full, metrics.NewCounter).(metrics.Counter).Inc(n)
+}
+
+// Gauge sets a gauge. Labels come in pairs of name and value.
+func (r *Registry) Gauge(name string, value float64, labels ...string) {
+	full := "eelgrass_" + name + labelText(labels)
+	r.registry.GetOrRegister(full, metrics.NewGaugeFloat64).(metrics.GaugeFloat64).Update(value)
+}
+
+func labelText(labels []string) string {
+	if len(labels) == 0 {
+		return ""
+	}
+	var parts []string
+	for i := 0; i+1 < len(labels); i += 2 {
+		parts = append(parts, fmt.Sprintf("%s=%q", labels[i], labels[i+1]))
+	}
+	return "{" + strings.Join(parts, ",") + "}"
+}
+
+// Write writes all metrics, ordered by name.
+func (r *Registry) Write(w io.Writer) error {
+	var lines []string
+	r.registry.Each(func(name string, value any) {
+		switch m := value.(type) {
+		case metrics.Counter:
+			lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+		case metrics.GaugeFloat64:
+			lines = append(lines, fmt.Sprintf("%s %g", name, m.Value()))
+		case metrics.Histogram:
+			lines = append(lines, histogramLines(name, m.Snapshot())...)
+		}
+	})
+	sort.Strings(lines)
+	_, err := io.WriteString(w, strings.Join(lines, "\n")+"\n")
+	return err
+}
+
+// histogramLines writes a histogram as a summary: quantiles, sum and count.
+func histogramLines(name string, h metrics.Histogram) []string {
+	base, labels, _ := strings.Cut(strings.TrimSuffix(name, "}"), "{")
+	var out []string
+	for i, v := range h.Percentiles(quantiles) {
+		out = append(out, fmt.Sprintf("%s{%s,quantile=\"%g\"} %g", base, labels, quantiles[i], v/float64(time.Second)))
+	}
+	out = append(out, fmt.Sprintf("%s_sum{%s} %g", base, labels, float64(h.Sum())/float64(time.Second)))
+	return append(out, fmt.Sprintf("%s_count{%s} %d", base, labels, h.Count()))
+}
--- /dev/null
+++ b/internal/node/peers.go
@@ -0,0 +1,76 @@
+package node
+
+import (
+	"sort"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/limit"
+)
+
+// PutPeer takes a heartbeat. It reports whether the peer was not known or was
+// lost.
+func (t *Table) PutPeer(p Peer) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, known := t.peers[p.Name]
+	if known && old.Heard.After(p.Heard) {
+		return false
+	}
+	t.peers[p.Name] = p
+	t.wake()
+	return !known || p.Heard.Sub(old.Heard) > peerSilence
+}
+
+// PutMembers takes the nodes that hold a membership in the store.
+func (t *Table) PutMembers(names map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.members = names
+}
+
+// MemberCount returns how many nodes hold a membership in the store.
+func (t *Table) MemberCount() int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return len(t.members)
+}
+
+// Peers returns all peers by name, also lost ones.
+func (t *Table) Peers() []Peer {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]Peer, 0, len(t.peers))
+	for _, p := range t.peers {
+		out = append(out, p)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// ForgetPeer removes a peer that has neither a membership nor a heartbeat.
+func (t *Table) ForgetPeer(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peers, name)
+}
+
+// IsLive reports whether the peer was heard of lately.
+func (p Peer) IsLive(now time.Time) bool {
+	return now.Sub(p.Heard) <= peerSilence
+}
+
+// LimitView returns what the node knows of a workspace's use of its limit.
+func (t *Table) LimitView(w ring.Workspace, limitOf int, own limit.Demand, now time.Time) limit.View {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	v := limit.View{Limit: limitOf, Own: own, Known: max(1, len(t.members))}
+	for _, p := range t.peers {
+		if !p.IsLive(now) {
+			continue
+		}
+		d := p.Demand[w]
+		v.Peers = append(v.Peers, limit.Demand{Running: d.Running, Queued: d.Queued})
+	}
+	return v
+}
--- /dev/null
+++ b/internal/node/table.go
@@ -0,0 +1,422 @@
+// Package node runs the processes around the decision cores of one node: it
+// watches the store, probes the backend servers, talks to its peers, holds
+// its membership and, while it has the controller's lease, drives placement.
+//
+// Terms:
+//
+//   - Evidence: the status that a backend server last gave to this node, with
+//     the time at which it was asked.
+//   - Table: what the node knows, shared by all its workers.
+//
+// Invariants:
+//
+//   - The configuration number in the table never falls; nor does the
+//     revision of a group's record.
+//   - A group serves only while the evidence for every member is younger than
+//     EvidenceAge and matches the record.
+//
+// Lock order: the gateway's scheduler may call the table while it holds its
+// own lock; Table.mu is never held while another lock is taken.
+package node
+
+import (
+	"sync"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/routing"
+)
+
+// EvidenceAge is how old the evidence for a member may be for its group to
+// get a request.
+const EvidenceAge = 1500 * time.Millisecond
+
+// peerSilence is the time without a heartbeat after which a peer counts as
+// lost.
+const peerSilence = 1500 * time.Millisecond
+
+// Evidence is what a backend server last reported.
+type Evidence struct {
+	Status ring.Status
+	// Asked is when the report was asked for, so the state that it shows is
+	// not older.
+	Asked time.Time
+}
+
+// Peer is what another node last told.
+type Peer struct {
+	Name        string
+	Address     string
+	Entry       string
+	Zone        ring.Zone
+	Incarnation string
+	Number      int64
+	Draining    bool
+	Heard       time.Time
+	Demand      map[ring.Workspace]PeerDemand
+	Outstanding map[ring.Group]int
+	Leaving     []ring.VM
+}
+
+// PeerDemand is a peer's demand of one workspace.
+type PeerDemand struct {
+	Running int
+	Queued  int
+}
+
+// Table is what the node knows. It may be used by several goroutines.
+type Table struct {
+	mu            sync.RWMutex
+	configuration *deployment.Configuration
+	number        int64
+	document      []byte
+	inForce       time.Time
+	records       map[ring.Group]placement.StoredRecord
+	gone          map[ring.Group]ring.Revision
+	evidence      map[ring.VM]Evidence
+	listed        map[ring.VM]bool
+	peers         map[string]Peer
+	members       map[string]bool
+	outstanding   map[ring.Group]int
+	slowness      map[ring.Group]*pace
+	changed       chan struct{}
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		records:     map[ring.Group]placement.StoredRecord{},
+		gone:        map[ring.Group]ring.Revision{},
+		evidence:    map[ring.VM]Evidence{},
+		listed:      map[ring.VM]bool{},
+		peers:       map[string]Peer{},
+		members:     map[string]bool{},
+		outstanding: map[ring.Group]int{},
+		slowness:    map[ring.Group]*pace{},
+		changed:     make(chan struct{}),
+	}
+}
+
+// Changed returns a channel that closes when something that matters to
+// waiting requests changes.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.changed
+}
+
+// wake is called with mu held.
+func (t *Table) wake() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Accept puts a configuration in force unless the table has the same or a
+// newer one. It reports whether it did.
+func (t *Table) Accept(number int64, document []byte, c *deployment.Configuration, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if number <= t.number {
+		return false
+	}
+	t.number = number
+	t.document = document
+	t.configuration = c
+	t.inForce = now
+	t.wake()
+	return true
+}
+
+// Configuration returns what is in force; the number is 0 and the
+// configuration nil when nothing is.
+func (t *Table) Configuration() (*deployment.Configuration, int64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.configuration, t.number
+}
+
+// Document returns the text of the configuration in force with its number.
+func (t *Table) Document() ([]byte, int64) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.document, t.number
+}
+
+// PutRecord takes a group's record unless the table has a newer one.
+func (t *Table) PutRecord(r placement.StoredRecord) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	name := r.Record.Group
+	if old, ok := t.records[name]; ok && old.Modified >= r.Modified {
+		return
+	}
+	if t.gone[name] >= r.Modified {
+		return
+	}
+	t.records[name] = r
+	t.wake()
+}
+
+// DropRecord removes a group's record that was deleted at the revision.
+func (t *Table) DropRecord(g ring.Group, at ring.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old, ok := t.records[g]; ok && old.Modified > at {
+		return
+	}
+	t.gone[g] = max(t.gone[g], at)
+	delete(t.records, g)
+}
+
+// KeepRecords removes the records that a full listing at the revision did not
+// show.
+func (t *Table) KeepRecords(shown map[ring.Group]bool, at ring.Revision) {
+	t.mu.RLock()
+	var lost []ring.Group
+	for g := range t.records {
+		if !shown[g] {
+			lost = append(lost, g)
+		}
+	}
+	t.mu.RUnlock()
+	for _, g := range lost {
+		t.DropRecord(g, at)
+	}
+}
+
+// Records returns all records.
+func (t *Table) Records() []placement.StoredRecord {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]placement.StoredRecord, 0, len(t.records))
+	for _, r := range t.records {
+		out = append(out, r)
+	}
+	return out
+}
+
+// PutEvidence takes a backend server's report.
+func (t *Table) PutEvidence(vm ring.VM, e Evidence) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.evidence[vm]
+	if old.Asked.After(e.Asked) {
+		return
+	}
+	t.evidence[vm] = e
+	if old.Status.Phase != e.Status.Phase || old.Status.Epoch != e.Status.Epoch || e.Asked.Sub(old.Asked) > EvidenceAge {
+		t.wake()
+	}
+}
+
+// DropEvidence forgets a backend server that did not answer.
+func (t *Table) DropEvidence(vm ring.VM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.evidence, vm)
+}
+
+// PutListed takes the platform's list.
+func (t *Table) PutListed(vms []ring.ListedVM) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.listed = map[ring.VM]bool{}
+	for _, v := range vms {
+		if v.State == ring.VMLeaving {
+			t.listed[v.VM] = true
+		}
+	}
+}
+
+// Leaving returns the VMs that this node knows to be leaving by itself.
+func (t *Table) Leaving() []ring.VM {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var out []ring.VM
+	for vm := range t.listed {
+		out = append(out, vm)
+	}
+	for vm, e := range t.evidence {
+		if e.Status.Leaving && !t.listed[vm] {
+			out = append(out, vm)
+		}
+	}
+	return out
+}
+
+// isLeaving reports whether this node or a live peer knows that the VM is
+// leaving; mu is held.
+func (t *Table) isLeaving(vm ring.VM, now time.Time) bool {
+	if t.listed[vm] || t.evidence[vm].Status.Leaving {
+		return true
+	}
+	for _, p := range t.peers {
+		if now.Sub(p.Heard) > peerSilence {
+			continue
+		}
+		for _, one := range p.Leaving {
+			if one == vm {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Reason says why a group gets no requests; it is empty when it does.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone      Reason = ""
+	ReasonNoRecord  Reason = "no record"
+	ReasonNotReady  Reason = "not ready"
+	ReasonStale     Reason = "no recent report of a member"
+	ReasonRestarted Reason = "a member lost its place"
+	ReasonMismatch  Reason = "a member does not confirm the epoch"
+	ReasonLeaving   Reason = "a member is leaving"
+)
+
+// serving says whether the group may get a request; mu is held.
+func (t *Table) serving(r placement.Record, now time.Time) (Reason, ring.VM) {
+	if r.Phase != placement.PhaseReady {
+		return ReasonNotReady, ""
+	}
+	for _, m := range r.Members {
+		e, ok := t.evidence[m.VM]
+		switch {
+		case !ok || now.Sub(e.Asked) > EvidenceAge:
+			return ReasonStale, m.VM
+		case e.Status.Incarnation != m.Incarnation:
+			return ReasonRestarted, m.VM
+		case e.Status.Epoch != r.Epoch || e.Status.Group != r.Group || e.Status.Phase != ring.BackendReady:
+			return ReasonMismatch, m.VM
+		case t.isLeaving(m.VM, now):
+			return ReasonLeaving, m.VM
+		}
+	}
+	return ReasonNone, ""
+}
+
+// Route is a group that a request may go to.
+type Route struct {
+	Group   ring.Group
+	Epoch   ring.Epoch
+	Address string
+}
+
+// GroupState is a group as this node sees it.
+type GroupState struct {
+	Record      placement.StoredRecord
+	Reason      Reason
+	Culprit     ring.VM
+	Outstanding int
+	Load        float64
+	Slowness    float64
+}
+
+// Group returns a group as this node sees it.
+func (t *Table) Group(g ring.Group, now time.Time) GroupState {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.records[g]
+	if !ok {
+		return GroupState{Reason: ReasonNoRecord}
+	}
+	reason, culprit := t.serving(r.Record, now)
+	return GroupState{
+		Record: r, Reason: reason, Culprit: culprit,
+		Outstanding: t.outstanding[g], Load: t.load(g, now), Slowness: t.slownessOf(g),
+	}
+}
+
+// IsServing reports whether the route still holds.
+func (t *Table) IsServing(r Route, now time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	stored, ok := t.records[r.Group]
+	if !ok || stored.Record.Epoch != r.Epoch {
+		return false
+	}
+	reason, _ := t.serving(stored.Record, now)
+	return reason == ReasonNone
+}
+
+// load estimates the requests at a group: this node's own and those that live
+// peers last told of; mu is held.
+func (t *Table) load(g ring.Group, now time.Time) float64 {
+	load := float64(t.outstanding[g])
+	for _, p := range t.peers {
+		if now.Sub(p.Heard) <= peerSilence {
+			load += float64(p.Outstanding[g])
+		}
+	}
+	return load
+}
+
+// Candidates fills the groups that can serve the target now. The slices are
+// reused; they grow only when there are more groups than ever before.
+func (t *Table) Candidates(target deployment.Target, tried map[ring.Group]bool, now time.Time, c []routing.Candidate, r []Route) ([]routing.Candidate, []Route) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	c, r = c[:0], r[:0]
+	if t.configuration == nil {
+		return c, r
+	}
+	for _, d := range t.configuration.Groups() {
+		stored, ok := t.records[d.Name]
+		if !ok || !target.Serves(stored.Record.Spec) || tried[d.Name] {
+			continue
+		}
+		if reason, _ := t.serving(stored.Record, now); reason != ReasonNone {
+			continue
+		}
+		head, ok := t.configuration.VM(stored.Record.Members[0].VM)
+		if !ok {
+			continue
+		}
+		c = append(c, routing.Candidate{
+			Hash: routing.Hash(string(d.Name)), Slots: float64(stored.Record.Slots),
+			Load: t.load(d.Name, now), Slowness: t.slownessOf(d.Name), ReadyAt: stored.Record.ReadyAt,
+		})
+		r = append(r, Route{Group: d.Name, Epoch: stored.Record.Epoch, Address: head.Address})
+	}
+	return c, r
+}
+
+// Begin counts a request at a group; End takes it off again.
+func (t *Table) Begin(g ring.Group) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outstanding[g]++
+}
+
+// End takes a request off its group and wakes waiting ones.
+func (t *Table) End(g ring.Group) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outstanding[g]--
+	t.wake()
+}
+
+// Outstanding returns this node's requests by group.
+func (t *Table) Outstanding() map[ring.Group]int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make(map[ring.Group]int, len(t.outstanding))
+	for g, n := range t.outstanding {
+		if n > 0 {
+			out[g] = n
+		}
+	}
+	return out
+}
+
+// VM returns the evidence for a VM and whether it is known to be leaving.
+func (t *Table) VM(vm ring.VM, now time.Time) (Evidence, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.evidence[vm], t.isLeaving(vm, now)
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,163 @@
+// Package peer carries heartbeats and the hand-over of configurations between
+// nodes over gRPC.
+//
+// Invariant: a call that times out is never repeated on the same connection.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/node"
+	pb "eelgrassring.dev/internal/peer/peerpb"
+	"eelgrassring.dev/internal/placement"
+)
+
+// Client implements node.PeerClient.
+type Client struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// NewClient returns a client; it connects at the first call to a peer.
+func NewClient() *Client {
+	return &Client{conns: map[string]*grpc.ClientConn{}}
+}
+
+func (c *Client) conn(address string) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn, ok := c.conns[address]; ok {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return nil, fmt.Errorf("peer %s: %w", address, err)
+	}
+	c.conns[address] = conn
+	return conn, nil
+}
+
+// check drops the connection after a call on it that timed out or failed.
+func (c *Client) check(address string, conn *grpc.ClientConn, err error) {
+	if code := status.Code(err); code != codes.DeadlineExceeded && code != codes.Unavailable {
+		return
+	}
+	c.mu.Lock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	c.mu.Unlock()
+	conn.Close()
+}
+
+// Heartbeat implements node.PeerClient.
+func (c *Client) Heartbeat(ctx context.Context, address string, self node.Peer) (int64, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return 0, err
+	}
+	r, err := pb.NewPeerClient(conn).Heartbeat(ctx, RequestOf(self))
+	if err != nil {
+		c.check(address, conn, err)
+		return 0, fmt.Errorf("heartbeat to %s: %w", address, err)
+	}
+	return r.Revision, nil
+}
+
+// Configuration implements node.PeerClient.
+func (c *Client) Configuration(ctx context.Context, address string, after int64) (node.Handover, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return node.Handover{}, err
+	}
+	r, err := pb.NewPeerClient(conn).Configuration(ctx, &pb.ConfigurationRequest{After: after})
+	if err != nil {
+		c.check(address, conn, err)
+		return node.Handover{}, fmt.Errorf("configuration of %s: %w", address, err)
+	}
+	return handoverOf(r)
+}
+
+func handoverOf(r *pb.ConfigurationResponse) (node.Handover, error) {
+	out := node.Handover{Number: r.Revision, Document: r.Document}
+	for _, one := range r.Records {
+		var record placement.Record
+		if err := json.Unmarshal(one.Value, &record); err != nil {
+			return out, fmt.Errorf("record of a peer: %w", err)
+		}
+		out.Records = append(out.Records, placement.StoredRecord{Record: record, Modified: ring.Revision(one.Modified)})
+	}
+	return out, nil
+}
+
+// RequestOf returns the message of a heartbeat.
+func RequestOf(p node.Peer) *pb.HeartbeatRequest {
+	out := &pb.HeartbeatRequest{
+		Name: p.Name, Address: p.Address, Entry: p.Entry, Zone: string(p.Zone), Incarnation: p.Incarnation,
+		Revision: p.Number, Draining: p.Draining,
+	}
+	for w, d := range p.Demand {
+		out.Demands = append(out.Demands, &pb.Demand{Workspace: string(w), Running: uint32(d.Running), Queued: uint32(d.Queued)})
+	}
+	for g, n := range p.Outstanding {
+		out.Loads = append(out.Loads, &pb.Load{Group: string(g), Outstanding: uint32(n)})
+	}
+	for _, vm := range p.Leaving {
+		out.Leaving = append(out.Leaving, string(vm))
+	}
+	return out
+}
+
+// Server answers other nodes.
+type Server struct {
+	pb.UnimplementedPeerServer
+	node *node.Node
+}
+
+// Register adds the service to a gRPC server.
+func Register(s *grpc.Server, n *node.Node) {
+	pb.RegisterPeerServer(s, &Server{node: n})
+}
+
+// Heartbeat takes what a peer tells.
+func (s *Server) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
+	p := node.Peer{
+		Name: r.Name, Address: r.Address, Entry: r.Entry, Zone: ring.Zone(r.Zone), Incarnation: r.Incarnation,
+		Number: r.Revision, Draining: r.Draining, Heard: time.Now(),
+		Demand: map[ring.Workspace]node.PeerDemand{}, Outstanding: map[ring.Group]int{},
+	}
+	for _, d := range r.Demands {
+		p.Demand[ring.Workspace(d.Workspace)] = node.PeerDemand{Running: int(d.Running), Queued: int(d.Queued)}
+	}
+	for _, l := range r.Loads {
+		p.Outstanding[ring.Group(l.Group)] = int(l.Outstanding)
+	}
+	for _, vm := range r.Leaving {
+		p.Leaving = append(p.Leaving, ring.VM(vm))
+	}
+	return &pb.HeartbeatResponse{Revision: s.node.Hear(ctx, p)}, nil
+}
+
+// Configuration hands the configuration in force to a peer that is behind.
+func (s *Server) Configuration(context.Context, *pb.ConfigurationRequest) (*pb.ConfigurationResponse, error) {
+	h := s.node.Handover()
+	out := &pb.ConfigurationResponse{Revision: h.Number, Document: h.Document}
+	for _, r := range h.Records {
+		value, err := json.Marshal(r.Record)
+		if err != nil {
+			return nil, err
+		}
+		out.Records = append(out.Records, &pb.GroupRecord{Value: value, Modified: int64(r.Modified)})
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/placement/event.go
@@ -0,0 +1,87 @@
+package placement
+
+import (
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+)
+
+// Event is what the controller learns.
+type Event interface{ event() }
+
+// Configured brings the configuration in force.
+type Configured struct{ Configuration *deployment.Configuration }
+
+// Loaded brings all records and owners from the store, at the begin of a
+// controller's term or after a write with an unknown outcome.
+type Loaded struct {
+	Records  []StoredRecord
+	Owners   []Owner
+	MaxEpoch ring.Epoch
+}
+
+// Owner is the stored owner of a VM.
+type Owner struct {
+	VM    ring.VM
+	Group ring.Group
+}
+
+// Reported brings a status that a backend server gave at the time of Step.
+type Reported struct{ Status ring.Status }
+
+// Listed brings the platform's list of VMs.
+type Listed struct{ VMs []ring.ListedVM }
+
+// CommitDone tells how a commit ended. Unknown means that the records must be
+// loaded again before anything else is decided.
+type CommitDone struct {
+	Commit   Commit
+	Accepted bool
+	Revision ring.Revision
+}
+
+// OrderDone tells that an order was answered or given up.
+type OrderDone struct {
+	VM       ring.VM
+	Epoch    ring.Epoch
+	Accepted bool
+}
+
+// Tick lets time pass.
+type Tick struct{}
+
+func (Configured) event() {}
+func (Loaded) event()     {}
+func (Reported) event()   {}
+func (Listed) event()     {}
+func (CommitDone) event() {}
+func (OrderDone) event()  {}
+func (Tick) event()       {}
+
+// Action is what the controller wants done.
+type Action interface{ action() }
+
+// Commit writes one record in one transaction: the record's key must still be
+// at Guard, the keys of the VMs in Take must be absent. When Delete is set the
+// record is removed. The process around the controller adds the guard of the
+// controller's lease.
+type Commit struct {
+	Record  Record
+	Guard   ring.Revision
+	Delete  bool
+	Take    []ring.VM
+	Release []ring.VM
+}
+
+// Send sends an order to a backend server.
+type Send struct {
+	VM      ring.VM
+	Address string
+	Order   ring.Order
+}
+
+// Reload asks for a Loaded event: the stored state is not what it should be.
+type Reload struct{}
+
+func (Commit) action() {}
+func (Send) action()   {}
+func (Reload) action() {}
--- /dev/null
+++ b/internal/placement/form.go
@@ -0,0 +1,269 @@
+package placement
+
+import (
+	"sort"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+)
+
+// form gives the group a whole set of members under a new epoch, or marks it
+// broken. Survivors keep their places, because they hold their weights.
+func (c *Controller) form(d deployment.Group, g *groupState, now time.Time) []Action {
+	members := c.completed(d, g.record, now)
+	if members == nil {
+		members = c.fresh(d, g.record, now)
+	}
+	if members == nil {
+		return c.lack(d, g, now)
+	}
+	g.brokenFrom = time.Time{}
+	g.drainFrom = time.Time{}
+	c.maxEpoch++
+	next := Record{
+		Group: d.Name, Epoch: c.maxEpoch, Phase: PhaseForming,
+		Spec: c.configuration.Spec(d), Slots: d.Slots, Members: members,
+	}
+	take, release := difference(g.record.Members, members)
+	c.reserve(take, d.Name)
+	return c.commit(g, Commit{Record: next, Take: take, Release: release})
+}
+
+// reserve marks VMs as owned before their commit is answered, so that no
+// other group of the same round picks them. A refused commit reloads owners.
+func (c *Controller) reserve(vms []ring.VM, group ring.Group) {
+	for _, vm := range vms {
+		c.vm(vm).owner = group
+	}
+}
+
+// completed keeps the usable members in their ranks and fills the rest with
+// spares of the same fabric domain. It returns nil when spares are lacking or
+// no member is usable.
+func (c *Controller) completed(d deployment.Group, r Record, now time.Time) []Member {
+	if len(r.Members) != d.Size {
+		return nil
+	}
+	var domain ring.Domain
+	kept := 0
+	out := make([]Member, d.Size)
+	for i, m := range r.Members {
+		vm, declared := c.configuration.VM(m.VM)
+		if !declared || !c.isUsable(m.VM, now) || (d.Domain != "" && vm.Domain != d.Domain) {
+			continue
+		}
+		domain = vm.Domain
+		kept++
+		out[i] = c.member(m.VM)
+	}
+	spares := c.spares(domain, now)
+	if kept == 0 || kept+len(spares) < d.Size {
+		return nil
+	}
+	for i := range out {
+		if out[i].VM == "" {
+			out[i] = c.member(spares[0])
+			spares = spares[1:]
+		}
+	}
+	return out
+}
+
+// fresh takes a whole set of VMs from the fabric domain that fits tightest, so
+// that the least remains stranded. VMs that the group owns already count.
+func (c *Controller) fresh(d deployment.Group, r Record, now time.Time) []Member {
+	var best []ring.VM
+	for _, domain := range c.domains(d) {
+		free := c.spares(domain, now)
+		for _, m := range r.Members {
+			vm, declared := c.configuration.VM(m.VM)
+			if declared && vm.Domain == domain && c.isUsable(m.VM, now) {
+				free = append(free, m.VM)
+			}
+		}
+		if len(free) >= d.Size && (best == nil || len(free) < len(best)) {
+			best = free
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	best = c.sameZoneFirst(best)
+	out := make([]Member, d.Size)
+	for i := range out {
+		out[i] = c.member(best[i])
+	}
+	return out
+}
+
+// lack handles a group that cannot be made whole now: it is marked broken,
+// and after a while its healthy VMs are released if they make a group of
+// greater need whole.
+func (c *Controller) lack(d deployment.Group, g *groupState, now time.Time) []Action {
+	if g.brokenFrom.IsZero() {
+		g.brokenFrom = now
+	}
+	if len(g.record.Members) == 0 {
+		return nil
+	}
+	if g.record.Phase != PhaseBroken {
+		next := g.record
+		next.Phase = PhaseBroken
+		return c.commit(g, Commit{Record: next})
+	}
+	if now.Before(g.brokenFrom.Add(c.options.BreakAfter)) || !c.helpsAnother(d, g, now) {
+		return nil
+	}
+	return c.commit(g, Commit{Record: g.record, Delete: true, Release: vmsOf(g.record.Members)})
+}
+
+// helpsAnother reports whether the healthy VMs of the broken group would make
+// another incomplete group whole that comes before it.
+func (c *Controller) helpsAnother(d deployment.Group, g *groupState, now time.Time) bool {
+	for _, other := range c.byNeed(now) {
+		if other.Name == d.Name {
+			return false
+		}
+		o, ok := c.groups[other.Name]
+		if !ok || o.pending || o.record.Phase != PhaseBroken || o.brokenFrom.IsZero() {
+			continue
+		}
+		domain, healthy := c.survivors(o.record, now)
+		mine, given := c.survivors(g.record, now)
+		if domain == mine && healthy+given+len(c.spares(domain, now)) >= other.Size {
+			return true
+		}
+	}
+	return false
+}
+
+// survivors returns the fabric domain and the number of a record's usable VMs.
+func (c *Controller) survivors(r Record, now time.Time) (ring.Domain, int) {
+	var domain ring.Domain
+	n := 0
+	for _, m := range r.Members {
+		vm, declared := c.configuration.VM(m.VM)
+		if declared && c.isUsable(m.VM, now) {
+			domain = vm.Domain
+			n++
+		}
+	}
+	return domain, n
+}
+
+// isUsable reports whether the VM may be a member of a new assignment.
+func (c *Controller) isUsable(vm ring.VM, now time.Time) bool {
+	return c.isAlive(vm, now) && !c.isLeaving(vm)
+}
+
+func (c *Controller) member(vm ring.VM) Member {
+	return Member{VM: vm, Incarnation: c.vm(vm).status.Incarnation}
+}
+
+// spares returns the usable VMs of the domain that nobody owns, by name.
+func (c *Controller) spares(domain ring.Domain, now time.Time) []ring.VM {
+	var out []ring.VM
+	for _, vm := range c.configuration.VMs() {
+		if vm.Domain == domain && c.vm(vm.Name).owner == "" && c.isUsable(vm.Name, now) {
+			out = append(out, vm.Name)
+		}
+	}
+	return out
+}
+
+func (c *Controller) domains(d deployment.Group) []ring.Domain {
+	if d.Domain != "" {
+		return []ring.Domain{d.Domain}
+	}
+	seen := map[ring.Domain]bool{}
+	var out []ring.Domain
+	for _, vm := range c.configuration.VMs() {
+		if !seen[vm.Domain] {
+			seen[vm.Domain] = true
+			out = append(out, vm.Domain)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// sameZoneFirst orders VMs so that those of the fullest zone come first.
+func (c *Controller) sameZoneFirst(vms []ring.VM) []ring.VM {
+	count := map[ring.Zone]int{}
+	zone := func(vm ring.VM) ring.Zone {
+		d, _ := c.configuration.VM(vm)
+		return d.Zone
+	}
+	for _, vm := range vms {
+		count[zone(vm)]++
+	}
+	out := append([]ring.VM(nil), vms...)
+	sort.Slice(out, func(i, j int) bool {
+		a, b := zone(out[i]), zone(out[j])
+		if count[a] != count[b] {
+			return count[a] > count[b]
+		}
+		if a != b {
+			return a < b
+		}
+		return out[i] < out[j]
+	})
+	return out
+}
+
+// byNeed orders the declared groups: larger rank first, then the larger gain
+// of the objective per VM that is still lacking, then by name.
+func (c *Controller) byNeed(now time.Time) []deployment.Group {
+	groups := append([]deployment.Group(nil), c.configuration.Groups()...)
+	gain := make(map[ring.Group]float64, len(groups))
+	for _, d := range groups {
+		gain[d.Name] = c.gain(d, now)
+	}
+	sort.SliceStable(groups, func(i, j int) bool {
+		if groups[i].Rank != groups[j].Rank {
+			return groups[i].Rank > groups[j].Rank
+		}
+		return gain[groups[i].Name] > gain[groups[j].Name]
+	})
+	return groups
+}
+
+// gain is what making the group whole brings per VM taken: one group less
+// down, and the accelerators of its survivors no longer stranded.
+func (c *Controller) gain(d deployment.Group, now time.Time) float64 {
+	g, ok := c.groups[d.Name]
+	healthy := 0
+	if ok {
+		_, healthy = c.survivors(g.record, now)
+	}
+	lacking := max(d.Size-healthy, 1)
+	accelerators := 0
+	if ok {
+		for _, m := range g.record.Members {
+			if vm, declared := c.configuration.VM(m.VM); declared && c.isUsable(m.VM, now) {
+				accelerators += vm.Accelerators
+			}
+		}
+	}
+	o := c.configuration.Objective()
+	total := o.Downtime + o.Stranded
+	return (o.Downtime/total + o.Stranded/total*float64(accelerators)) / float64(lacking)
+}
+
+func difference(before, after []Member) (take, release []ring.VM) {
+	has := func(members []Member, vm ring.VM) bool {
+		return Record{Members: members}.Has(vm)
+	}
+	for _, m := range after {
+		if !has(before, m.VM) {
+			take = append(take, m.VM)
+		}
+	}
+	for _, m := range before {
+		if !has(after, m.VM) {
+			release = append(release, m.VM)
+		}
+	}
+	return take, release
+}
--- /dev/null
+++ b/internal/placement/record.go
@@ -0,0 +1,74 @@
+// Package placement decides which VMs form which group. It is a pure core:
+// Controller.Step takes one event and the time and returns actions; it starts
+// no goroutine and reads no clock, socket or log.
+//
+// Terms:
+//
+//   - Record: the stored assignment of VMs to one group.
+//   - Spare: a healthy VM that no record names.
+//   - Incomplete group: a declared group that lacks a healthy member.
+//   - Owner: the group that a VM's key in the store names.
+//
+// Invariants:
+//
+//   - A record becomes ready only after every member confirmed its epoch with
+//     the incarnation that the record names.
+//   - Every new set of members has a larger epoch than all before it.
+//   - A VM is taken only by a transaction that requires its owner key to be
+//     absent, so two controllers cannot both take it.
+package placement
+
+import (
+	"time"
+
+	ring "eelgrassring.dev"
+)
+
+// Phase is the state of a group's record.
+type Phase string
+
+// The phases. A forming group loads; a ready group may serve; a draining
+// group finishes what it has; a broken group waits for VMs.
+const (
+	PhaseForming  Phase = "forming"
+	PhaseReady    Phase = "ready"
+	PhaseDraining Phase = "draining"
+	PhaseBroken   Phase = "broken"
+)
+
+// Member is a VM in its place. Incarnation is the start of the backend server
+// that the place was given to; a restarted server has lost its place.
+type Member struct {
+	VM          ring.VM `json:"vm"`
+	Incarnation string  `json:"incarnation"`
+}
+
+// Record is the stored assignment of one group.
+type Record struct {
+	Group   ring.Group `json:"group"`
+	Epoch   ring.Epoch `json:"epoch"`
+	Phase   Phase      `json:"phase"`
+	Spec    ring.Spec  `json:"spec"`
+	Slots   int        `json:"slots"`
+	Members []Member   `json:"members"`
+	// ReadyAt is when the record became ready; nodes ramp a new group from it.
+	ReadyAt time.Time `json:"ready,omitzero"`
+	// DrainUntil is when a draining group is taken apart even if it is busy.
+	DrainUntil time.Time `json:"drain,omitzero"`
+}
+
+// Has reports whether the record names the VM.
+func (r Record) Has(vm ring.VM) bool {
+	for _, m := range r.Members {
+		if m.VM == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// StoredRecord is a record with the revision of its last write.
+type StoredRecord struct {
+	Record   Record
+	Modified ring.Revision
+}
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,238 @@
+// Package engine stands in for a backend server with a model engine: it
+// speaks the OpenAI-compatible API and the control interface, and generates
+// text that a test can compute.
+//
+// Terms: the head is the member of rank 0, to which requests go.
+//
+// Invariant of the stand-in, as of real replicas: the head produces tokens
+// only while every member answers under the head's epoch.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/engine"
+)
+
+// memberCheckInterval is how often the head looks after its members.
+const memberCheckInterval = 50 * time.Millisecond
+
+// Config configures a Server.
+type Config struct {
+	VM          ring.VM
+	Incarnation string
+	// CheckFencing refuses orders and requests with an old epoch.
+	CheckFencing bool
+	// LoadTime is how long weights load; a second load of the same spec takes
+	// a tenth of it, because the weights are there.
+	LoadTime time.Duration
+	// FirstToken is the time to the first token for a prompt that is not
+	// cached; a cached one takes a quarter.
+	FirstToken time.Duration
+	// TokenGap is the time between tokens.
+	TokenGap time.Duration
+	// WaitWeights asks the weight store for its turn; nil means at once.
+	WaitWeights func() time.Duration
+}
+
+// Server is one backend server.
+type Server struct {
+	config Config
+	client *http.Client
+
+	mu       sync.Mutex
+	status   ring.Status
+	rank     int
+	members  []string
+	slots    int
+	running  int
+	waiting  int
+	broken   bool
+	loads    int
+	resident ring.Spec
+	cache    map[string]time.Time
+	served   Counters
+	turn     chan struct{}
+}
+
+// Counters counts what the server did, for checks.
+type Counters struct {
+	Requests  int `json:"requests"`
+	Tokens    int `json:"tokens"`
+	Hits      int `json:"hits"`
+	Misses    int `json:"misses"`
+	Cancelled int `json:"cancelled"`
+	Resumed   int `json:"resumed"`
+	Refused   int `json:"refused"`
+}
+
+// New returns a server that has loaded nothing.
+func New(c Config) *Server {
+	return &Server{
+		config: c,
+		client: &http.Client{Timeout: 300 * time.Millisecond},
+		status: ring.Status{VM: c.VM, Incarnation: c.Incarnation, Phase: ring.BackendEmpty},
+		cache:  map[string]time.Time{},
+		turn:   make(chan struct{}),
+	}
+}
+
+// Handler serves the server's interfaces.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(engine.StatusPath, s.getStatus).Methods(http.MethodGet)
+	r.HandleFunc(engine.OrderPath, s.postOrder).Methods(http.MethodPost)
+	r.HandleFunc("/control/leave", s.postLeave).Methods(http.MethodPost)
+	r.HandleFunc("/control/counters", s.getCounters).Methods(http.MethodGet)
+	r.HandleFunc("/v1/chat/completions", s.postChat).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", s.postCompletion).Methods(http.MethodPost)
+	return r
+}
+
+// Watch looks after the members while this server is a head, until the
+// context ends.
+func (s *Server) Watch(ctx context.Context) {
+	ticker := time.NewTicker(memberCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.checkMembers(ctx)
+		}
+	}
+}
+
+func (s *Server) checkMembers(ctx context.Context) {
+	s.mu.Lock()
+	members, epoch := s.members, s.status.Epoch
+	isHead := s.rank == 0 && s.status.Phase == ring.BackendReady
+	s.mu.Unlock()
+	if !isHead {
+		return
+	}
+	whole := true
+	for _, address := range members[1:] {
+		whole = whole && s.memberHolds(ctx, address, epoch)
+	}
+	s.mu.Lock()
+	if s.status.Epoch == epoch {
+		s.broken = !whole
+	}
+	s.mu.Unlock()
+}
+
+func (s *Server) memberHolds(ctx context.Context, address string, epoch ring.Epoch) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+engine.StatusPath, nil)
+	if err != nil {
+		return false
+	}
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	var status ring.Status
+	if json.NewDecoder(resp.Body).Decode(&status) != nil {
+		return false
+	}
+	return status.Epoch == epoch
+}
+
+func (s *Server) getStatus(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	status := s.status
+	status.Running, status.Waiting = s.running, s.waiting
+	s.mu.Unlock()
+	writeJSON(w, status)
+}
+
+func (s *Server) getCounters(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	counters := s.served
+	s.mu.Unlock()
+	writeJSON(w, counters)
+}
+
+func (s *Server) postLeave(http.ResponseWriter, *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status.Leaving = true
+}
+
+func (s *Server) postOrder(w http.ResponseWriter, r *http.Request) {
+	var order ring.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.config.CheckFencing && order.Epoch < s.status.Epoch {
+		http.Error(w, "old epoch", http.StatusPreconditionFailed)
+		return
+	}
+	if order.Epoch == s.status.Epoch && s.status.Phase != ring.BackendEmpty {
+		return
+	}
+	s.begin(order)
+}
+
+// begin starts to load; mu is held.
+func (s *Server) begin(order ring.Order) {
+	s.status.Epoch = order.Epoch
+	s.status.Group = order.Group
+	s.status.Spec = order.Spec
+	s.rank, s.members, s.slots = order.Rank, order.Members, order.Slots
+	s.broken = false
+	if order.Unload {
+		s.status.Phase = ring.BackendEmpty
+		return
+	}
+	s.status.Phase = ring.BackendLoading
+	s.loads++
+	span := s.config.LoadTime
+	if s.resident.Equal(order.Spec) {
+		span /= 10
+	} else if s.config.WaitWeights != nil {
+		span += s.config.WaitWeights()
+	}
+	load := s.loads
+	time.AfterFunc(span, func() { s.finishLoad(load, order.Spec) })
+}
+
+func (s *Server) finishLoad(load int, spec ring.Spec) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.loads != load {
+		return
+	}
+	s.resident = spec
+	s.status.Phase = ring.BackendReady
+}
+
+// admits reports whether a request with this epoch may run now; mu is held.
+func (s *Server) admits(r *http.Request) bool {
+	if s.status.Phase != ring.BackendReady || s.rank != 0 || s.broken {
+		return false
+	}
+	epoch, err := strconv.ParseUint(r.Header.Get(engine.HeaderEpoch), 10, 64)
+	if s.config.CheckFencing && (err != nil || ring.Epoch(epoch) != s.status.Epoch) {
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/standin/platform/keyspace.go
@@ -0,0 +1,300 @@
+// Package platform stands in for the platform's services in tests and in the
+// demonstration: the key-value service, the list of VMs and the weight store.
+//
+// Terms: a keyspace is the state of the key-value service; a fault is a
+// declared misbehaviour of it.
+//
+// Invariants: every write has a revision of its own; a lease that expires
+// deletes its keys as one write.
+package platform
+
+import (
+	"context"
+	"errors"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	ring "eelgrassring.dev"
+)
+
+// maxLog is how many changes are kept for watches that begin in the past.
+const maxLog = 200_000
+
+var (
+	errCompacted    = errors.New("revision is compacted")
+	errDuplicateKey = errors.New("duplicate key given in txn request")
+)
+
+type lease struct {
+	ttl      time.Duration
+	deadline time.Time
+	keys     map[string]bool
+}
+
+type logged struct {
+	revision ring.Revision
+	change   ring.Change
+}
+
+// Keyspace is an in-memory key-value store with leases and watches. It
+// implements ring.Store without any fault.
+type Keyspace struct {
+	mu       sync.Mutex
+	revision ring.Revision
+	entries  map[string]ring.Entry
+	leases   map[ring.Lease]*lease
+	next     ring.Lease
+	log      []logged
+	changed  chan struct{}
+	dropped  ring.Revision
+}
+
+// NewKeyspace returns an empty keyspace at revision 1.
+func NewKeyspace() *Keyspace {
+	return &Keyspace{
+		revision: 1,
+		entries:  map[string]ring.Entry{},
+		leases:   map[ring.Lease]*lease{},
+		next:     1000,
+		changed:  make(chan struct{}),
+	}
+}
+
+// Get implements ring.Store.
+func (k *Keyspace) Get(_ context.Context, key string) (ring.Entry, bool, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	e, ok := k.entries[key]
+	return e, ok, nil
+}
+
+// List implements ring.Store.
+func (k *Keyspace) List(_ context.Context, prefix string) ([]ring.Entry, ring.Revision, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	var out []ring.Entry
+	for key, e := range k.entries {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, e)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	return out, k.revision, nil
+}
+
+// Commit implements ring.Store.
+func (k *Keyspace) Commit(ctx context.Context, txn ring.Txn) (ring.TxnResult, error) {
+	results, err := k.CommitEach(ctx, []ring.Txn{txn})
+	if err != nil {
+		return ring.TxnResult{}, err
+	}
+	return results[0], nil
+}
+
+// CommitEach implements ring.Store. As in the published API, all writes of one
+// call share one revision, and a key may be written once.
+func (k *Keyspace) CommitEach(_ context.Context, txns []ring.Txn) ([]ring.TxnResult, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	if err := k.check(txns); err != nil {
+		return nil, err
+	}
+	next := k.revision + 1
+	out := make([]ring.TxnResult, len(txns))
+	for i, t := range txns {
+		out[i].Succeeded = k.holds(t.Guards)
+	}
+	for i, t := range txns {
+		if out[i].Succeeded && len(t.Writes) > 0 {
+			k.revision = next
+			k.writeAll(t.Writes)
+		}
+	}
+	for i := range out {
+		out[i].Revision = k.revision
+	}
+	k.wake()
+	return out, nil
+}
+
+// check refuses a call that writes a key twice or names an unknown lease.
+func (k *Keyspace) check(txns []ring.Txn) error {
+	written := map[string]bool{}
+	for _, t := range txns {
+		for _, w := range t.Writes {
+			if written[w.Key] {
+				return errDuplicateKey
+			}
+			written[w.Key] = true
+			if _, known := k.leases[w.Lease]; w.Lease != 0 && !known {
+				return ring.ErrLeaseLost
+			}
+		}
+	}
+	return nil
+}
+
+func (k *Keyspace) holds(guards []ring.Guard) bool {
+	for _, g := range guards {
+		e := k.entries[g.Key]
+		if g.CheckCreated && e.Created != g.Created {
+			return false
+		}
+		if g.CheckModified && e.Modified != g.Modified {
+			return false
+		}
+	}
+	return true
+}
+
+func (k *Keyspace) writeAll(writes []ring.Write) {
+	for _, w := range writes {
+		k.write(w)
+	}
+}
+
+func (k *Keyspace) write(w ring.Write) {
+	old, existed := k.entries[w.Key]
+	if l := k.leases[old.Lease]; existed && l != nil {
+		delete(l.keys, w.Key)
+	}
+	if w.Delete {
+		if !existed {
+			return
+		}
+		delete(k.entries, w.Key)
+		k.record(ring.Change{Entry: ring.Entry{Key: w.Key, Modified: k.revision}, Deleted: true})
+		return
+	}
+	e := ring.Entry{Key: w.Key, Value: append([]byte(nil), w.Value...), Created: k.revision, Modified: k.revision, Lease: w.Lease}
+	if existed {
+		e.Created = old.Created
+	}
+	k.entries[w.Key] = e
+	if l := k.leases[w.Lease]; l != nil {
+		l.keys[w.Key] = true
+	}
+	k.record(ring.Change{Entry: e})
+}
+
+func (k *Keyspace) record(c ring.Change) {
+	k.log = append(k.log, logged{k.revision, c})
+	if len(k.log) > maxLog {
+		k.dropped = k.log[maxLog/2].revision
+		k.log = append([]logged(nil), k.log[maxLog/2+1:]...)
+	}
+}
+
+func (k *Keyspace) wake() {
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
+// expire ends leases that are past their deadline.
+func (k *Keyspace) expire(now time.Time) {
+	for id, l := range k.leases {
+		if now.After(l.deadline) {
+			k.end(id, l)
+		}
+	}
+}
+
+func (k *Keyspace) end(id ring.Lease, l *lease) {
+	delete(k.leases, id)
+	if len(l.keys) == 0 {
+		return
+	}
+	k.revision++
+	keys := make([]string, 0, len(l.keys))
+	for key := range l.keys {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	for _, key := range keys {
+		delete(k.entries, key)
+		k.record(ring.Change{Entry: ring.Entry{Key: key, Modified: k.revision}, Deleted: true})
+	}
+	k.wake()
+}
+
+// Expire ends leases that are past their deadline; a server calls it at
+// intervals so that watches hear of them without any other call.
+func (k *Keyspace) Expire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+}
+
+// Grant implements ring.Store.
+func (k *Keyspace) Grant(_ context.Context, ttl time.Duration) (ring.Lease, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.next++
+	k.leases[k.next] = &lease{ttl: ttl, deadline: time.Now().Add(ttl), keys: map[string]bool{}}
+	return k.next, nil
+}
+
+// Renew implements ring.Store.
+func (k *Keyspace) Renew(_ context.Context, id ring.Lease) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(time.Now())
+	l, ok := k.leases[id]
+	if !ok {
+		return ring.ErrLeaseLost
+	}
+	l.deadline = time.Now().Add(l.ttl)
+	return nil
+}
+
+// Revoke implements ring.Store.
+func (k *Keyspace) Revoke(_ context.Context, id ring.Lease) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if l, ok := k.leases[id]; ok {
+		k.end(id, l)
+	}
+	return nil
+}
+
+// Watch implements ring.Store.
+func (k *Keyspace) Watch(ctx context.Context, prefix string, from ring.Revision, sink func(ring.Changes)) error {
+	for {
+		batch, next, wait, err := k.since(prefix, from)
+		if err != nil {
+			return err
+		}
+		from = next
+		if len(batch.Changes) > 0 {
+			sink(batch)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-wait:
+		}
+	}
+}
+
+// since returns the changes from the revision on, the revision to ask for
+// next, and a channel that closes at the next change.
+func (k *Keyspace) since(prefix string, from ring.Revision) (ring.Changes, ring.Revision, <-chan struct{}, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if from <= k.dropped {
+		return ring.Changes{}, 0, nil, errCompacted
+	}
+	first := sort.Search(len(k.log), func(i int) bool { return k.log[i].revision >= from })
+	out := ring.Changes{Revision: k.revision}
+	for _, l := range k.log[first:] {
+		if strings.HasPrefix(l.change.Entry.Key, prefix) {
+			out.Changes = append(out.Changes, l.change)
+		}
+	}
+	return out, k.revision + 1, k.changed, nil
+}
--- /dev/null
+++ b/internal/strictjson/strictjson.go
@@ -0,0 +1,244 @@
+// Package strictjson reads JSON with comments into typed values and reports
+// every unknown field and every wrong type at once, each with its path and
+// position.
+//
+// Terms: a path is a JSON pointer ("/groups/3/size"); a position is a line
+// and a column, both counted from 1.
+//
+// Invariant: a document with any fault yields no value that a caller may use.
+package strictjson
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Position is a place in a document. The zero value means "unknown".
+type Position struct {
+	Line   int
+	Column int
+}
+
+// String renders line:column.
+func (p Position) String() string {
+	return fmt.Sprintf("%d:%d", p.Line, p.Column)
+}
+
+// Fault is one thing wrong with a document.
+type Fault struct {
+	Path     string
+	Position Position
+	Message  string
+}
+
+// Error implements error.
+func (f Fault) Error() string {
+	return fmt.Sprintf("%s: %s: %s", f.Position, f.Path, f.Message)
+}
+
+// Faults is a list of faults that is reported as one error.
+type Faults []Fault
+
+// Error implements error with one fault a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, one := range f {
+		lines[i] = one.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns f as an error, or nil when it is empty.
+func (f Faults) Err() error {
+	if len(f) == 0 {
+		return nil
+	}
+	sort.SliceStable(f, func(i, j int) bool {
+		a, b := f[i].Position, f[j].Position
+		if a.Line != b.Line {
+			return a.Line < b.Line
+		}
+		return a.Column < b.Column
+	})
+	return f
+}
+
+// Document is parsed text that can tell positions of paths.
+type Document struct {
+	text []byte
+	root hujson.Value
+}
+
+// Parse reads text. A syntax error comes back as Faults.
+func Parse(text []byte) (*Document, error) {
+	root, err := hujson.Parse(text)
+	if err != nil {
+		return nil, Faults{{Path: "/", Position: syntaxPosition(err), Message: err.Error()}}
+	}
+	return &Document{text: text, root: root}, nil
+}
+
+func syntaxPosition(err error) Position {
+	var line, column int
+	if _, scanErr := fmt.Sscanf(err.Error(), "hujson: line %d, column %d", &line, &column); scanErr != nil {
+		return Position{Line: 1, Column: 1}
+	}
+	return Position{Line: line, Column: column}
+}
+
+// Decode fills target, a pointer to a struct. All unknown fields and wrong
+// types are reported together as Faults.
+func (d *Document) Decode(target any) error {
+	var faults Faults
+	d.check(d.root, reflect.TypeOf(target).Elem(), "", &faults)
+	if err := faults.Err(); err != nil {
+		return err
+	}
+	standard := d.root.Clone()
+	standard.Standardize()
+	if err := json.Unmarshal(standard.Pack(), target); err != nil {
+		return Faults{{Path: "/", Position: Position{1, 1}, Message: err.Error()}}
+	}
+	return nil
+}
+
+// At returns the position of path, or of its nearest existing ancestor.
+func (d *Document) At(path string) Position {
+	for {
+		if v := d.root.Find(path); v != nil {
+			return d.position(v.StartOffset)
+		}
+		cut := strings.LastIndexByte(path, '/')
+		if cut <= 0 {
+			return Position{1, 1}
+		}
+		path = path[:cut]
+	}
+}
+
+func (d *Document) position(offset int) Position {
+	before := string(d.text[:min(offset, len(d.text))])
+	line := strings.Count(before, "\n") + 1
+	column := len(before) - strings.LastIndexByte(before, '\n')
+	return Position{Line: line, Column: column}
+}
+
+var unmarshalerType = reflect.TypeFor[json.Unmarshaler]()
+
+func (d *Document) check(v hujson.Value, t reflect.Type, path string, faults *Faults) {
+	fault := func(format string, args ...any) {
+		shown := path
+		if shown == "" {
+			shown = "/"
+		}
+		*faults = append(*faults, Fault{shown, d.position(v.StartOffset), fmt.Sprintf(format, args...)})
+	}
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if reflect.PointerTo(t).Implements(unmarshalerType) {
+		if err := json.Unmarshal(packed(v), reflect.New(t).Interface()); err != nil {
+			fault("%s", rootCause(err))
+		}
+		return
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		object, ok := v.Value.(*hujson.Object)
+		if !ok {
+			fault("want an object")
+			return
+		}
+		d.checkObject(object, t, path, faults)
+	case reflect.Slice:
+		array, ok := v.Value.(*hujson.Array)
+		if !ok {
+			fault("want an array")
+			return
+		}
+		for i, e := range array.Elements {
+			d.check(e, t.Elem(), path+"/"+strconv.Itoa(i), faults)
+		}
+	default:
+		if err := json.Unmarshal(packed(v), reflect.New(t).Interface()); err != nil {
+			fault("want %s", kindName(t))
+		}
+	}
+}
+
+func (d *Document) checkObject(object *hujson.Object, t reflect.Type, path string, faults *Faults) {
+	fields := fieldsOf(t)
+	seen := map[string]bool{}
+	for _, m := range object.Members {
+		name := m.Name.Value.(hujson.Literal).String()
+		below := path + "/" + name
+		ft, known := fields[name]
+		switch {
+		case !known:
+			*faults = append(*faults, Fault{below, d.position(m.Name.StartOffset), "unknown field" + suggestion(name, fields)})
+		case seen[name]:
+			*faults = append(*faults, Fault{below, d.position(m.Name.StartOffset), "field stands twice"})
+		default:
+			d.check(m.Value, ft, below, faults)
+		}
+		seen[name] = true
+	}
+}
+
+func fieldsOf(t reflect.Type) map[string]reflect.Type {
+	out := map[string]reflect.Type{}
+	for f := range t.Fields() {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if name != "" && name != "-" {
+			out[name] = f.Type
+		}
+	}
+	return out
+}
+
+func suggestion(name string, fields map[string]reflect.Type) string {
+	names := make([]string, 0, len(fields))
+	for f := range fields {
+		names = append(names, f)
+	}
+	sort.Strings(names)
+	for _, f := range names {
+		if strings.EqualFold(f, name) || strings.HasPrefix(f, name) || strings.HasPrefix(name, f) {
+			return fmt.Sprintf("; did you mean %q?", f)
+		}
+	}
+	return fmt.Sprintf("; known are %s", strings.Join(names, ", "))
+}
+
+func packed(v hujson.Value) []byte {
+	c := v.Clone()
+	c.Standardize()
+	return c.Pack()
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Float64:
+		return "a number"
+	default:
+		return "a whole number"
+	}
+}
+
+func rootCause(err error) error {
+	for errors.Unwrap(err) != nil {
+		err = errors.Unwrap(err)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/vmlist/client.go
@@ -0,0 +1,55 @@
+// Package vmlist reads the platform's list of live and leaving VMs over HTTP.
+//
+// Invariant: the list lags, so a VM that it does not name is not taken for
+// dead; only "leaving" is acted on.
+package vmlist
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	ring "eelgrassring.dev"
+)
+
+// callTimeout bounds one call.
+const callTimeout = time.Second
+
+// Config configures a Client. Address is the service's IP and port.
+type Config struct {
+	Address string
+}
+
+// Client implements ring.VMList.
+type Client struct {
+	address string
+	http    *http.Client
+}
+
+// New returns a client.
+func New(c Config) *Client {
+	return &Client{address: c.Address, http: &http.Client{Timeout: callTimeout}}
+}
+
+// VMs implements ring.VMList.
+func (c *Client) VMs(ctx context.Context) ([]ring.ListedVM, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+"/vms", nil)
+	if err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("list of VMs: status %d", resp.StatusCode)
+	}
+	var out []ring.ListedVM
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return nil, fmt.Errorf("list of VMs: %w", err)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/result.go
@@ -0,0 +1,126 @@
+package eelgrassring
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Ran tells whether a request reached execution at a backend server.
+type Ran string
+
+// The values of Ran. RanNo is given only when it is certain.
+const (
+	RanNo      Ran = "no"
+	RanYes     Ran = "yes"
+	RanUnknown Ran = "unknown"
+)
+
+// Code is a numbered result. The table is in docs/ERRORS.md.
+type Code int
+
+// The result codes. 1xxx: the request is at fault. 2xxx: the system cannot
+// take it now. 3xxx: the request was dispatched and its outcome is impaired.
+const (
+	CodeBadKey           Code = 1001
+	CodeBadBody          Code = 1002
+	CodeBodyTooLarge     Code = 1003
+	CodeUnknownModel     Code = 1004
+	CodeNotAllowed       Code = 1005
+	CodeUnknownService   Code = 1006
+	CodeKeyRequired      Code = 1007
+	CodeKeyReused        Code = 1008
+	CodeBadHeader        Code = 1009
+	CodeNotFound         Code = 1010
+	CodeWorkspaceLimit   Code = 2001
+	CodeOverloaded       Code = 2002
+	CodeDeadline         Code = 2003
+	CodeNoGroup          Code = 2004
+	CodeDraining         Code = 2005
+	CodeNoConfiguration  Code = 2006
+	CodeClaimUnavailable Code = 2007
+	CodeClaimRate        Code = 2008
+	CodeBackendRefused   Code = 2009
+	CodeUnreachable      Code = 2010
+	CodeInProgress       Code = 3001
+	CodeOutcomeUnknown   Code = 3002
+	CodeAnswerNotKept    Code = 3003
+	CodeStreamBroken     Code = 3004
+	CodeStreamDiverged   Code = 3005
+)
+
+// CodeInfo describes one code. Retry says whether a client may repeat the
+// request by itself.
+type CodeInfo struct {
+	Code   Code
+	Name   string
+	Status int
+	Ran    Ran
+	Retry  bool
+}
+
+var codeTable = []CodeInfo{
+	{CodeBadKey, "bad_key", http.StatusUnauthorized, RanNo, false},
+	{CodeBadBody, "bad_body", http.StatusBadRequest, RanNo, false},
+	{CodeBodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, RanNo, false},
+	{CodeUnknownModel, "unknown_model", http.StatusNotFound, RanNo, false},
+	{CodeNotAllowed, "not_allowed", http.StatusForbidden, RanNo, false},
+	{CodeUnknownService, "unknown_service", http.StatusNotFound, RanNo, false},
+	{CodeKeyRequired, "key_required", http.StatusBadRequest, RanNo, false},
+	{CodeKeyReused, "key_reused", http.StatusUnprocessableEntity, RanNo, false},
+	{CodeBadHeader, "bad_header", http.StatusBadRequest, RanNo, false},
+	{CodeNotFound, "not_found", http.StatusNotFound, RanNo, false},
+	{CodeWorkspaceLimit, "workspace_limit", http.StatusTooManyRequests, RanNo, true},
+	{CodeOverloaded, "overloaded", http.StatusServiceUnavailable, RanNo, true},
+	{CodeDeadline, "deadline", http.StatusServiceUnavailable, RanNo, true},
+	{CodeNoGroup, "no_group", http.StatusServiceUnavailable, RanNo, true},
+	{CodeDraining, "draining", http.StatusServiceUnavailable, RanNo, true},
+	{CodeNoConfiguration, "no_configuration", http.StatusServiceUnavailable, RanNo, true},
+	{CodeClaimUnavailable, "claim_unavailable", http.StatusServiceUnavailable, RanNo, true},
+	{CodeClaimRate, "claim_rate", http.StatusTooManyRequests, RanNo, true},
+	{CodeBackendRefused, "backend_refused", http.StatusServiceUnavailable, RanNo, true},
+	{CodeUnreachable, "unreachable", http.StatusServiceUnavailable, RanNo, true},
+	{CodeInProgress, "in_progress", http.StatusConflict, RanUnknown, true},
+	{CodeOutcomeUnknown, "outcome_unknown", http.StatusBadGateway, RanUnknown, false},
+	{CodeAnswerNotKept, "answer_not_kept", http.StatusConflict, RanYes, false},
+	{CodeStreamBroken, "stream_broken", http.StatusBadGateway, RanYes, false},
+	{CodeStreamDiverged, "stream_diverged", http.StatusBadGateway, RanYes, false},
+}
+
+// Codes returns the whole table in ascending order.
+func Codes() []CodeInfo {
+	return append([]CodeInfo(nil), codeTable...)
+}
+
+// Info returns the row of the code.
+func (c Code) Info() CodeInfo {
+	for _, i := range codeTable {
+		if i.Code == c {
+			return i
+		}
+	}
+	return CodeInfo{Code: c, Name: "unlisted", Status: http.StatusInternalServerError, Ran: RanUnknown}
+}
+
+// Failure is a request's final answer when it has no result of a backend
+// server. RetryAt is when to come back; it is zero when retrying is useless.
+type Failure struct {
+	Code    Code
+	Message string
+	RetryAt time.Time
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	return fmt.Sprintf("%d %s: %s", f.Code, f.Code.Info().Name, f.Message)
+}
+
+// Fail builds a Failure without a time to come back.
+func Fail(code Code, format string, args ...any) *Failure {
+	return &Failure{Code: code, Message: fmt.Sprintf(format, args...)}
+}
+
+// FailUntil builds a Failure that tells when to come back.
+func FailUntil(code Code, retryAt time.Time, format string, args ...any) *Failure {
+	return &Failure{Code: code, Message: fmt.Sprintf(format, args...), RetryAt: retryAt}
+}
--- /dev/null
+++ b/store.go
@@ -0,0 +1,106 @@
+package eelgrassring
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrOutcomeUnknown marks a write that may or may not have taken effect. The
+// writer has to read the key back to find out.
+var ErrOutcomeUnknown = errors.New("outcome of the write is unknown")
+
+// ErrLeaseLost marks a renewal of a lease that the store no longer knows.
+var ErrLeaseLost = errors.New("lease is lost")
+
+// Lease identifies a lease in the store.
+type Lease int64
+
+// Entry is one key of the store with its value. Created and Modified are the
+// revisions of the first and of the last write since the key last existed.
+type Entry struct {
+	Key      string
+	Value    []byte
+	Created  Revision
+	Modified Revision
+	Lease    Lease
+}
+
+// Guard is a condition of a transaction on one key.
+type Guard struct {
+	Key string
+	// Created must equal the revision that created the key; 0 requires that
+	// the key does not exist. It is checked when CheckCreated is set.
+	Created      Revision
+	CheckCreated bool
+	// Modified must equal the revision of the last write; 0 requires that the
+	// key does not exist. It is checked when CheckModified is set.
+	Modified      Revision
+	CheckModified bool
+}
+
+// Absent requires that key does not exist.
+func Absent(key string) Guard {
+	return Guard{Key: key, CheckCreated: true}
+}
+
+// Unchanged requires that key was last written at revision; 0 requires that
+// it does not exist.
+func Unchanged(key string, revision Revision) Guard {
+	return Guard{Key: key, Modified: revision, CheckModified: true}
+}
+
+// CreatedAt requires that key was created at revision.
+func CreatedAt(key string, revision Revision) Guard {
+	return Guard{Key: key, Created: revision, CheckCreated: true}
+}
+
+// Write is one change within a transaction.
+type Write struct {
+	Key    string
+	Value  []byte
+	Lease  Lease
+	Delete bool
+}
+
+// Txn is a transaction: all writes take effect if all guards hold, else none.
+type Txn struct {
+	Guards []Guard
+	Writes []Write
+}
+
+// TxnResult tells whether the guards held and at which revision.
+type TxnResult struct {
+	Succeeded bool
+	Revision  Revision
+}
+
+// Change is one observed change of a key.
+type Change struct {
+	Entry   Entry
+	Deleted bool
+}
+
+// Changes is a batch of changes up to and with Revision.
+type Changes struct {
+	Revision Revision
+	Changes  []Change
+}
+
+// Store is the platform's key-value service.
+//
+// Get reports false when the key does not exist. Commit and CommitEach return
+// an error that wraps ErrOutcomeUnknown when the writes may have taken
+// effect. CommitEach sends independent transactions as one call. Watch sends
+// batches until the context ends or the stream fails, then returns; from is
+// the first revision to report.
+type Store interface {
+	Get(ctx context.Context, key string) (Entry, bool, error)
+	List(ctx context.Context, prefix string) ([]Entry, Revision, error)
+	Commit(ctx context.Context, txn Txn) (TxnResult, error)
+	CommitEach(ctx context.Context, txns []Txn) ([]TxnResult, error)
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+	Renew(ctx context.Context, lease Lease) error
+	Revoke(ctx context.Context, lease Lease) error
+	Watch(ctx context.Context, prefix string, from Revision, sink func(Changes)) error
+}
