fake: real nodes over fakes in virtual time

What: network, store, peers and callers as fakes; gateway and control take their transport by configuration; history with checkers. Found: a member check that fell back to TCP blocked the bubble; addresses of tests are loopback ones now, so that a slip stays on this machine.

--- a/cmd/eelgrassd/app.go
+++ b/cmd/eelgrassd/app.go
@@ -73,7 +73,7 @@
 		Name: s.Name, Incarnation: string(i), Zone: ring.Zone(s.Zone), PeerAddress: s.Peers, Entry: s.Callers,
 		Store: store, VMList: vmlist.New(vmlist.Config{Address: s.VMs}),
 		Backends: engine.NewControl(engine.ControlConfig{Timeout: timing.ProbeTimeout}),
-		Peers:    peer.NewClient(), Table: node.NewTable(), Log: log,
+		Peers:    peer.NewClient(), Table: node.NewTable(node.TableConfig{EvidenceAge: node.EvidenceAge}), Log: log,
 		Timing: timing, Placement: placement.DefaultOptions(),
 	})
 }
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -48,14 +48,22 @@
 type ControlConfig struct {
 	// Timeout bounds one call.
 	Timeout time.Duration
+	// Kept and Fresh carry the calls; nil means TCP.
+	Kept  http.RoundTripper
+	Fresh http.RoundTripper
 }
 
 // NewControl returns a Control.
 func NewControl(c ControlConfig) *Control {
-	kept := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}
+	if c.Kept == nil {
+		c.Kept = &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}
+	}
+	if c.Fresh == nil {
+		c.Fresh = &http.Transport{DisableKeepAlives: true}
+	}
 	return &Control{
-		client: &http.Client{Timeout: c.Timeout, Transport: kept},
-		fresh:  &http.Client{Timeout: c.Timeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Timeout: c.Timeout, Transport: c.Kept},
+		fresh:  &http.Client{Timeout: c.Timeout, Transport: c.Fresh},
 	}
 }
 
--- /dev/null
+++ b/internal/fake/network.go
@@ -0,0 +1,293 @@
+// Package fake holds small stand-ins at the interfaces of the root package,
+// with declared faults. They run in virtual time inside testing/synctest.
+//
+// Terms:
+//
+//   - Host: an address with a handler; it may crash, restart and pause.
+//   - Link: the way from one named process to one host or process.
+//
+// Invariants: nothing here reads the wall clock or opens a socket; the same
+// calls in the same virtual order give the same result.
+package fake
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// dialTimeout is when opening a connection over a cut link fails.
+const dialTimeout = 500 * time.Millisecond
+
+// hop is the time that a message takes over a link that works.
+const hop = 200 * time.Microsecond
+
+type linkName struct{ from, to string }
+
+type host struct {
+	handler http.Handler
+	up      bool
+	paused  bool
+	// life ends when the host crashes.
+	life context.Context
+	kill context.CancelFunc
+}
+
+// Network carries HTTP between named processes and hosts.
+type Network struct {
+	mu      sync.Mutex
+	hosts   map[string]*host
+	cut     map[linkName]bool
+	deaf    map[linkName]bool
+	frozen  map[string]bool
+	changed chan struct{}
+	sent    func(from, to string, r *http.Request)
+}
+
+// NewNetwork returns a network without hosts.
+func NewNetwork() *Network {
+	return &Network{
+		hosts: map[string]*host{}, cut: map[linkName]bool{}, deaf: map[linkName]bool{},
+		frozen: map[string]bool{}, changed: make(chan struct{}),
+	}
+}
+
+// OnSent names a function that hears of every request that reaches a host.
+func (n *Network) OnSent(f func(from, to string, r *http.Request)) { n.sent = f }
+
+func (n *Network) change(do func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	do()
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Start puts a handler at an address.
+func (n *Network) Start(address string, h http.Handler) {
+	n.change(func() {
+		life, kill := context.WithCancel(context.Background())
+		n.hosts[address] = &host{handler: h, up: true, life: life, kill: kill}
+	})
+}
+
+// Crash ends a host: its connections are reset and new ones refused.
+func (n *Network) Crash(address string) {
+	n.change(func() {
+		n.hosts[address].up = false
+		n.hosts[address].kill()
+	})
+}
+
+// Pause stops a host without ending its connections; Resume lets it go on.
+func (n *Network) Pause(address string) { n.change(func() { n.hosts[address].paused = true }) }
+
+// Resume lets a paused host go on.
+func (n *Network) Resume(address string) { n.change(func() { n.hosts[address].paused = false }) }
+
+// Cut makes a link silent both for open connections and for new ones.
+func (n *Network) Cut(from, to string, on bool) {
+	n.change(func() { n.cut[linkName{from, to}] = on })
+}
+
+// Deafen makes answers over a link be lost, while requests arrive.
+func (n *Network) Deafen(from, to string, on bool) {
+	n.change(func() { n.deaf[linkName{from, to}] = on })
+}
+
+// Freeze holds all that a process sends until it is thawed, as a pause of the
+// process right before each of its calls would.
+func (n *Network) Freeze(process string, on bool) { n.change(func() { n.frozen[process] = on }) }
+
+// IsUp reports whether a host runs and is not paused.
+func (n *Network) IsUp(address string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h, ok := n.hosts[address]
+	return ok && h.up && !h.paused
+}
+
+// state returns the host and whether messages pass each way, with a channel
+// that closes at the next change.
+func (n *Network) state(l linkName) (h *host, forth, back bool, changed <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	h = n.hosts[l.to]
+	paused := h != nil && h.paused
+	open := !n.cut[l] && !paused
+	return h, open && !n.frozen[l.from], open && !n.deaf[l], n.changed
+}
+
+// await waits until a link's direction works, or the context ends.
+func (n *Network) await(ctx context.Context, l linkName, back bool) error {
+	for {
+		_, forthOpen, backOpen, changed := n.state(l)
+		if (back && backOpen) || (!back && forthOpen) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		}
+	}
+}
+
+// From returns the transport of a process. With kept set, connections count
+// as open already, so that a cut link is silent instead of refusing.
+func (n *Network) From(process string, kept bool) http.RoundTripper {
+	return &transport{network: n, process: process, kept: kept}
+}
+
+type transport struct {
+	network *Network
+	process string
+	kept    bool
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	ctx := r.Context()
+	l := linkName{t.process, r.URL.Host}
+	if err := t.connect(ctx, l); err != nil {
+		return nil, err
+	}
+	if trace := httptrace.ContextClientTrace(ctx); trace != nil && trace.GotConn != nil {
+		trace.GotConn(httptrace.GotConnInfo{Reused: t.kept})
+	}
+	if err := t.network.await(ctx, l, false); err != nil {
+		return nil, err
+	}
+	time.Sleep(hop)
+	return t.exchange(ctx, l, r)
+}
+
+// connect opens a connection, or fails as TCP would.
+func (t *transport) connect(ctx context.Context, l linkName) error {
+	h, forth, back, _ := t.network.state(l)
+	if h == nil || !h.up {
+		return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+	}
+	if t.kept || (forth && back) {
+		return nil
+	}
+	timer := time.NewTimer(dialTimeout)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return &net.OpError{Op: "dial", Net: "tcp", Err: ctx.Err()}
+	case <-timer.C:
+		return &net.OpError{Op: "dial", Net: "tcp", Err: errors.New("i/o timeout")}
+	}
+}
+
+func (t *transport) exchange(ctx context.Context, l linkName, r *http.Request) (*http.Response, error) {
+	h, _, _, _ := t.network.state(l)
+	if !h.up {
+		return nil, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	}
+	if t.network.sent != nil {
+		t.network.sent(t.process, l.to, r)
+	}
+	inner, cancel := context.WithCancel(h.life)
+	w := &writer{network: t.network, link: l, life: inner, header: http.Header{}, head: make(chan int, 1)}
+	w.body, w.pipe = io.Pipe()
+	w.cancel = cancel
+	stop := context.AfterFunc(ctx, cancel)
+	go w.serve(h.handler, r.Clone(inner), stop)
+	select {
+	case status := <-w.head:
+		resp := &http.Response{
+			StatusCode: status, Header: w.sentHeader, Body: &body{PipeReader: w.body, cancel: cancel, ctx: ctx},
+			ContentLength: -1, Request: r, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		}
+		return resp, nil
+	case <-ctx.Done():
+		cancel()
+		return nil, context.Cause(ctx)
+	case <-h.life.Done():
+		cancel()
+		return nil, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
+	}
+}
+
+// body ends the server's work when the reader closes it, and fails when the
+// request's context ends.
+type body struct {
+	*io.PipeReader
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+func (b *body) Close() error {
+	b.cancel()
+	return b.PipeReader.Close()
+}
+
+// writer is the server's side of one exchange.
+type writer struct {
+	network    *Network
+	link       linkName
+	life       context.Context
+	cancel     context.CancelFunc
+	header     http.Header
+	sentHeader http.Header
+	head       chan int
+	isSent     bool
+	body       *io.PipeReader
+	pipe       *io.PipeWriter
+}
+
+func (w *writer) serve(h http.Handler, r *http.Request, stop func() bool) {
+	defer stop()
+	go func() {
+		<-w.life.Done()
+		_ = w.pipe.CloseWithError(syscall.ECONNRESET)
+	}()
+	defer func() {
+		if recover() != nil {
+			_ = w.pipe.CloseWithError(io.ErrUnexpectedEOF)
+			w.cancel()
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+		if w.network.await(w.life, w.link, true) == nil {
+			_ = w.pipe.Close()
+		}
+		w.cancel()
+	}()
+	h.ServeHTTP(w, r)
+}
+
+// Header implements http.ResponseWriter.
+func (w *writer) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *writer) WriteHeader(status int) {
+	if w.isSent {
+		return
+	}
+	w.isSent = true
+	w.sentHeader = w.header.Clone()
+	if w.network.await(w.life, w.link, true) == nil {
+		w.head <- status
+	}
+}
+
+// Write implements io.Writer.
+func (w *writer) Write(b []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	if err := w.network.await(w.life, w.link, true); err != nil {
+		return 0, err
+	}
+	return w.pipe.Write(b)
+}
+
+// Flush implements http.Flusher.
+func (w *writer) Flush() {}
--- /dev/null
+++ b/internal/fake/store.go
@@ -0,0 +1,202 @@
+package fake
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/standin/platform"
+)
+
+// storeTimeout is when a silent call is given up.
+const storeTimeout = 2 * time.Second
+
+var errStoreDown = errors.New("store is down")
+
+// Store is one process's way to a shared keyspace, with faults of its own.
+type Store struct {
+	keys *platform.Keyspace
+
+	mu     sync.Mutex
+	fault  platform.Fault
+	late   time.Duration
+	frozen chan struct{}
+	blind  bool
+	calls  StoreCalls
+}
+
+// StoreCalls counts what the process asked of the store.
+type StoreCalls struct {
+	Reads, Writes, Renews, Watches int
+}
+
+// NewStore returns a way to the keyspace without a fault.
+func NewStore(k *platform.Keyspace) *Store { return &Store{keys: k} }
+
+// Set puts a fault in force.
+func (s *Store) Set(f platform.Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Delay makes writes take effect later than the caller hears that their
+// answers were lost.
+func (s *Store) Delay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late = d
+}
+
+// Freeze holds all calls until thawed, as a pause right before each would.
+func (s *Store) Freeze(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on {
+		s.frozen = make(chan struct{})
+		return
+	}
+	close(s.frozen)
+	s.frozen = nil
+}
+
+// IgnoreGuards makes every transaction succeed, to show that the guards are
+// what keeps the invariants.
+func (s *Store) IgnoreGuards() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.blind = true
+}
+
+func (s *Store) guarded(txns []ring.Txn) []ring.Txn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.blind {
+		return txns
+	}
+	out := make([]ring.Txn, len(txns))
+	for i, t := range txns {
+		out[i].Writes = t.Writes
+	}
+	return out
+}
+
+// Calls returns the counters.
+func (s *Store) Calls() StoreCalls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) before(ctx context.Context, write bool, count func(*StoreCalls)) (platform.Fault, time.Duration, error) {
+	s.mu.Lock()
+	count(&s.calls)
+	fault, late, frozen := s.fault, s.late, s.frozen
+	s.mu.Unlock()
+	if frozen != nil {
+		<-frozen // A paused process does not see its deadline pass.
+	}
+	time.Sleep(2 * hop)
+	switch {
+	case fault == platform.FaultDown:
+		if write {
+			return fault, 0, errors.Join(ring.ErrOutcomeUnknown, errStoreDown)
+		}
+		return fault, 0, errStoreDown
+	case fault == platform.FaultSilent:
+		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return fault, 0, errors.Join(ring.ErrOutcomeUnknown, ctx.Err())
+	case fault == platform.FaultLost && write:
+		return fault, 0, errors.Join(ring.ErrOutcomeUnknown, errStoreDown)
+	}
+	return fault, late, nil
+}
+
+// Get implements ring.Store.
+func (s *Store) Get(ctx context.Context, key string) (ring.Entry, bool, error) {
+	if _, _, err := s.before(ctx, false, func(c *StoreCalls) { c.Reads++ }); err != nil {
+		return ring.Entry{}, false, err
+	}
+	return s.keys.Get(ctx, key)
+}
+
+// List implements ring.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]ring.Entry, ring.Revision, error) {
+	if _, _, err := s.before(ctx, false, func(c *StoreCalls) { c.Reads++ }); err != nil {
+		return nil, 0, err
+	}
+	return s.keys.List(ctx, prefix)
+}
+
+// Commit implements ring.Store.
+func (s *Store) Commit(ctx context.Context, txn ring.Txn) (ring.TxnResult, error) {
+	results, err := s.CommitEach(ctx, []ring.Txn{txn})
+	if err != nil {
+		return ring.TxnResult{}, err
+	}
+	return results[0], nil
+}
+
+// CommitEach implements ring.Store.
+func (s *Store) CommitEach(ctx context.Context, txns []ring.Txn) ([]ring.TxnResult, error) {
+	fault, late, err := s.before(ctx, true, func(c *StoreCalls) { c.Writes++ })
+	if err != nil {
+		return nil, err
+	}
+	txns = s.guarded(txns)
+	if late > 0 {
+		go func() {
+			time.Sleep(late)
+			_, _ = s.keys.CommitEach(context.Background(), txns)
+		}()
+		return nil, errors.Join(ring.ErrOutcomeUnknown, errStoreDown)
+	}
+	results, err := s.keys.CommitEach(ctx, txns)
+	if err == nil && fault == platform.FaultAmbiguous {
+		return nil, errors.Join(ring.ErrOutcomeUnknown, errStoreDown)
+	}
+	return results, err
+}
+
+// Grant implements ring.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (ring.Lease, error) {
+	if _, _, err := s.before(ctx, true, func(c *StoreCalls) { c.Writes++ }); err != nil {
+		return 0, err
+	}
+	return s.keys.Grant(ctx, ttl)
+}
+
+// Renew implements ring.Store.
+func (s *Store) Renew(ctx context.Context, lease ring.Lease) error {
+	if _, _, err := s.before(ctx, false, func(c *StoreCalls) { c.Renews++ }); err != nil {
+		return err
+	}
+	return s.keys.Renew(ctx, lease)
+}
+
+// Revoke implements ring.Store.
+func (s *Store) Revoke(ctx context.Context, lease ring.Lease) error {
+	if _, _, err := s.before(ctx, true, func(c *StoreCalls) { c.Writes++ }); err != nil {
+		return err
+	}
+	return s.keys.Revoke(ctx, lease)
+}
+
+// Watch implements ring.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, from ring.Revision, sink func(ring.Changes)) error {
+	if _, _, err := s.before(ctx, false, func(c *StoreCalls) { c.Watches++ }); err != nil {
+		return err
+	}
+	return s.keys.Watch(ctx, prefix, from, func(c ring.Changes) {
+		s.mu.Lock()
+		fault := s.fault
+		s.mu.Unlock()
+		if fault == platform.FaultNone || fault == platform.FaultAmbiguous {
+			sink(c)
+		}
+	})
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -52,6 +52,10 @@
 	Gap      time.Duration
 	Patience time.Duration
 	Queue    int
+	// Kept and Fresh carry requests to backend servers; nil means TCP. Kept
+	// reuses connections and Fresh opens one for each request.
+	Kept  http.RoundTripper
+	Fresh http.RoundTripper
 }
 
 // Server answers callers.
@@ -61,8 +65,8 @@
 	scheduler *Scheduler
 	budget    *retry.Budget
 	// kept reuses connections and fresh opens one for each request.
-	kept  *http.Transport
-	fresh *http.Transport
+	kept  http.RoundTripper
+	fresh http.RoundTripper
 	// settling counts claims whose outcome is being recorded.
 	settling sync.WaitGroup
 }
@@ -72,25 +76,34 @@
 
 // New returns a server and names its demand to the node.
 func New(c Config) *Server {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	s := &Server{
 		config:    c,
 		table:     c.Node.Table(),
 		scheduler: NewScheduler(c.Node.Table(), c.Queue),
 		budget:    retry.NewBudget(retry.DefaultConfig()),
-		kept: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
-			ResponseHeaderTimeout: c.First, DisableCompression: true,
-		},
-		fresh: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true,
-			ResponseHeaderTimeout: c.First, DisableCompression: true,
-		},
+		kept:      c.Kept,
+		fresh:     c.Fresh,
+	}
+	if s.kept == nil {
+		s.kept = newTransport(c.First, false)
+	}
+	if s.fresh == nil {
+		s.fresh = newTransport(c.First, true)
 	}
 	c.Node.SetDemand(s.scheduler)
 	return s
 }
 
+// newTransport returns a transport over TCP. One that opens a connection for
+// each request never sends a request a second time by itself.
+func newTransport(first time.Duration, isFresh bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
+		ResponseHeaderTimeout: first, DisableCompression: true, DisableKeepAlives: isFresh,
+	}
+}
+
 // Scheduler returns the server's scheduler.
 func (s *Server) Scheduler() *Scheduler { return s.scheduler }
 
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -29,8 +29,7 @@
 	"eelgrassring.dev/internal/routing"
 )
 
-// EvidenceAge is how old the evidence for a member may be for its group to
-// get a request.
+// EvidenceAge is the age of evidence that production allows.
 const EvidenceAge = 1500 * time.Millisecond
 
 // peerSilence is the time without a heartbeat after which a peer counts as
@@ -82,11 +81,19 @@
 	outstanding   map[ring.Group]int
 	slowness      map[ring.Group]*pace
 	changed       chan struct{}
+	evidenceAge   time.Duration
+}
+
+// TableConfig configures a Table. EvidenceAge is how old the evidence for a
+// member may be for its group to get a request.
+type TableConfig struct {
+	EvidenceAge time.Duration
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table {
+func NewTable(c TableConfig) *Table {
 	return &Table{
+		evidenceAge: c.EvidenceAge,
 		records:     map[ring.Group]placement.StoredRecord{},
 		gone:        map[ring.Group]ring.Revision{},
 		evidence:    map[ring.VM]Evidence{},
@@ -287,7 +294,7 @@
 	for _, m := range r.Members {
 		e, ok := t.evidence[m.VM]
 		switch {
-		case !ok || now.Sub(e.Asked) > EvidenceAge:
+		case !ok || now.Sub(e.Asked) > t.evidenceAge:
 			return ReasonStale, m.VM
 		case e.Status.Incarnation != m.Incarnation:
 			return ReasonRestarted, m.VM
--- /dev/null
+++ b/internal/proof/system_test.go
@@ -0,0 +1,102 @@
+package proof
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+	"eelgrassring.dev/internal/fake"
+	"eelgrassring.dev/internal/placement"
+)
+
+const (
+	keyA = "key-a"
+	keyB = "key-b"
+)
+
+// document declares groups of the given size over domains with the given
+// number of VMs, two workspaces and one plain service.
+func document(groups, size, domains, vmsPerDomain int) deployment.Document {
+	d := deployment.Document{
+		Name:      "proof",
+		Objective: deployment.Objective{Downtime: 1, Stranded: 1},
+		Models:    []deployment.Model{{Name: "m", Versions: []string{"1", "2"}}},
+		Services: []deployment.Service{{
+			Name: "records", Servers: []string{"127.1.1.1:80"}, Once: []string{"POST /signoffs"}, Timeout: deployment.Duration(5 * time.Second),
+		}},
+	}
+	for i := range domains * vmsPerDomain {
+		d.VMs = append(d.VMs, deployment.VM{
+			Name: ring.VM(fmt.Sprintf("vm%02d", i+1)), Address: fmt.Sprintf("127.1.0.%d:80", i+1), Zone: "a",
+			Domain: ring.Domain(fmt.Sprintf("d%d", i/vmsPerDomain+1)), Accelerators: 4, Fencing: deployment.FencingChecked,
+		})
+	}
+	for i := range groups {
+		d.Groups = append(d.Groups, deployment.Group{Name: ring.Group(fmt.Sprintf("g%d", i+1)), Model: "m", Version: "1", Size: size, Slots: 8})
+	}
+	for name, key := range map[string]string{"a": keyA, "b": keyB} {
+		d.Workspaces = append(d.Workspaces, deployment.Workspace{Name: ring.Workspace(name), Weight: 1, Limit: 100,
+			Applications: []deployment.Application{{
+				Name: "app", Key: deployment.HashKey(key), Priority: deployment.PriorityNormal,
+				Models: []ring.Model{"m"}, Services: []ring.Service{"records"},
+			}}})
+	}
+	return d
+}
+
+func options(d deployment.Document, nodes int) fake.Options {
+	return fake.Options{
+		Document: d, Nodes: nodes, LoadTime: 300 * time.Millisecond,
+		FirstToken: 40 * time.Millisecond, TokenGap: 10 * time.Millisecond,
+	}
+}
+
+// inBubble runs a test over a system in virtual time, once all groups serve.
+func inBubble(t *testing.T, o fake.Options, test func(is *is.I, s *fake.System)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := fake.NewSystem(o)
+		defer s.Stop()
+		is.NoErr(s.AwaitServing(len(o.Document.Groups), 20*time.Second))
+		test(is, s)
+	})
+}
+
+// members returns the VMs of a group as a node sees them.
+func members(s *fake.System, group ring.Group) []placement.Member {
+	name := s.NodeNames()[0]
+	return s.Node(name).Node.Table().Group(group, time.Now()).Record.Record.Members
+}
+
+func isWholeAnswer(is *is.I, r fake.Result, prompt string, tokens int) {
+	is.Helper()
+	text, whole := r.Text()
+	is.True(whole)                                // the stream ends with [DONE]
+	is.Equal(text, fake.Expected(prompt, tokens)) // exactly its own answer
+}
+
+func TestEveryCallerGetsItsOwnAnswer(t *testing.T) {
+	inBubble(t, options(document(2, 3, 1, 8), 3), func(is *is.I, s *fake.System) {
+		results := make([]fake.Result, 24)
+		done := make(chan int)
+		for i := range results {
+			go func() {
+				node := fmt.Sprintf("n%d", i%3+1)
+				results[i] = s.Do(fake.Chat(node, []string{keyA, keyB}[i%2], fmt.Sprintf("prompt %d", i), 10+i))
+				done <- i
+			}()
+		}
+		for range results {
+			<-done
+		}
+		for i, r := range results {
+			isWholeAnswer(is, r, fmt.Sprintf("prompt %d", i), 10+i)
+		}
+	})
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -41,6 +41,8 @@
 	TokenGap time.Duration
 	// WaitWeights asks the weight store for its turn; nil means at once.
 	WaitWeights func() time.Duration
+	// Transport carries the head's questions to its members; nil means TCP.
+	Transport http.RoundTripper
 }
 
 // Server is one backend server.
@@ -78,13 +80,27 @@
 func New(c Config) *Server {
 	return &Server{
 		config: c,
-		client: &http.Client{Timeout: 300 * time.Millisecond},
+		client: &http.Client{Timeout: 300 * time.Millisecond, Transport: c.Transport},
 		status: ring.Status{VM: c.VM, Incarnation: c.Incarnation, Phase: ring.BackendEmpty},
 		cache:  map[string]time.Time{},
 		turn:   make(chan struct{}),
 	}
 }
 
+// Counters returns what the server did so far.
+func (s *Server) Counters() Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.served
+}
+
+// Leave makes the server report that its VM is leaving.
+func (s *Server) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.status.Leaving = true
+}
+
 // Handler serves the server's interfaces.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
@@ -157,17 +173,10 @@
 }
 
 func (s *Server) getCounters(w http.ResponseWriter, _ *http.Request) {
-	s.mu.Lock()
-	counters := s.served
-	s.mu.Unlock()
-	writeJSON(w, counters)
+	writeJSON(w, s.Counters())
 }
 
-func (s *Server) postLeave(http.ResponseWriter, *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.status.Leaving = true
-}
+func (s *Server) postLeave(http.ResponseWriter, *http.Request) { s.Leave() }
 
 func (s *Server) postOrder(w http.ResponseWriter, r *http.Request) {
 	var order ring.Order
--- a/internal/standin/platform/keyspace.go
+++ b/internal/standin/platform/keyspace.go
@@ -298,3 +298,18 @@
 	}
 	return out, k.revision + 1, k.changed, nil
 }
+
+// Log returns all changes since the keyspace began, as far as they are kept.
+func (k *Keyspace) Log() []ring.Changes {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out []ring.Changes
+	for _, l := range k.log {
+		if len(out) == 0 || out[len(out)-1].Revision != l.revision {
+			out = append(out, ring.Changes{Revision: l.revision})
+		}
+		last := &out[len(out)-1]
+		last.Changes = append(last.Changes, l.change)
+	}
+	return out
+}
