proof: answers, refusals, leaving, planned stop and configuration

Found and mended, with a test that failed first: a node that fetched a configuration from a silent peer waited for good, one more goroutine at each heartbeat (TestConfigurationIsInForceEverywhere, one-way case); it now gives up after a second.

--- a/internal/fake/history.go
+++ b/internal/fake/history.go
@@ -67,6 +67,15 @@
 // Requests returns how many requests reached backend servers.
 func (h *History) Requests() int { return len(of[Sent](h)) }
 
+// LastSent returns the last request that reached a backend server.
+func (h *History) LastSent() Sent {
+	all := of[Sent](h)
+	if len(all) == 0 {
+		return Sent{}
+	}
+	return all[len(all)-1]
+}
+
 // records returns every record that was ever stored, by epoch.
 func records(keys *platform.Keyspace) map[ring.Epoch]placement.Record {
 	out := map[ring.Epoch]placement.Record{}
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -48,13 +48,14 @@
 	frozen  map[string]bool
 	changed chan struct{}
 	sent    func(from, to string, r *http.Request)
+	open    map[*writer]bool
 }
 
 // NewNetwork returns a network without hosts.
 func NewNetwork() *Network {
 	return &Network{
 		hosts: map[string]*host{}, cut: map[linkName]bool{}, deaf: map[linkName]bool{},
-		frozen: map[string]bool{}, changed: make(chan struct{}),
+		frozen: map[string]bool{}, changed: make(chan struct{}), open: map[*writer]bool{},
 	}
 }
 
@@ -101,6 +102,27 @@
 	n.change(func() { n.deaf[linkName{from, to}] = on })
 }
 
+// Reset breaks the connections that are open over a link.
+func (n *Network) Reset(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for w := range n.open {
+		if w.link == (linkName{from, to}) {
+			w.cancel()
+		}
+	}
+}
+
+func (n *Network) track(w *writer, on bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if on {
+		n.open[w] = true
+		return
+	}
+	delete(n.open, w)
+}
+
 // Freeze holds all that a process sends until it is thawed, as a pause of the
 // process right before each of its calls would.
 func (n *Network) Freeze(process string, on bool) { n.change(func() { n.frozen[process] = on }) }
@@ -215,6 +237,7 @@
 	w.body, w.pipe = io.Pipe()
 	w.cancel = cancel
 	stop := context.AfterFunc(ctx, cancel)
+	t.network.track(w, true)
 	go w.serve(h.handler, r.Clone(inner), stop)
 	select {
 	case status := <-w.head:
@@ -261,6 +284,7 @@
 
 func (w *writer) serve(h http.Handler, r *http.Request, stop func() bool) {
 	defer stop()
+	defer w.network.track(w, false)
 	go func() {
 		<-w.life.Done()
 		_ = w.pipe.CloseWithError(syscall.ECONNRESET)
--- a/internal/fake/system.go
+++ b/internal/fake/system.go
@@ -415,3 +415,33 @@
 	control := engine.NewControl(engine.ControlConfig{Timeout: time.Second, Kept: s.Net.From("old", true), Fresh: s.Net.From("old", false)})
 	_ = control.Send(context.Background(), s.vm(vm).Address, o)
 }
+
+// VMAt returns the VM with an address.
+func (s *System) VMAt(address string) ring.VM {
+	for _, vm := range s.options.Document.VMs {
+		if vm.Address == address {
+			return vm.Name
+		}
+	}
+	return ""
+}
+
+// PartnerOf returns another member of the group whose head has an address.
+func (s *System) PartnerOf(address string) ring.VM {
+	head := s.VMAt(address)
+	for _, r := range s.Node(s.NodeNames()[0]).Node.Table().Records() {
+		if r.Record.Has(head) {
+			return r.Record.Members[1].VM
+		}
+	}
+	return ""
+}
+
+// Introduce makes a node known to all others, as its membership would.
+func (s *System) Introduce(name string) {
+	for _, other := range s.NodeNames() {
+		if other != name {
+			s.Node(other).Node.Table().IntroducePeer(node.Peer{Name: name, Address: name, Incarnation: "introduced"})
+		}
+	}
+}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -90,8 +90,13 @@
 	n.fetch(ctx, p.Address, self.Number)
 }
 
+// fetchTimeout bounds the hand-over of a configuration; a peer may be silent.
+const fetchTimeout = time.Second
+
 // fetch takes a newer configuration from a peer.
 func (n *Node) fetch(ctx context.Context, address string, after int64) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
 	h, err := n.config.Peers.Configuration(ctx, address, after)
 	if err != nil {
 		return
--- /dev/null
+++ b/internal/proof/configuration_test.go
@@ -0,0 +1,197 @@
+package proof
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/fake"
+	"eelgrassring.dev/internal/standin/platform"
+)
+
+// inForceBound is the stated target: in force everywhere within 3 s.
+const inForceBound = 3 * time.Second
+
+// watchNumbers samples the numbers in force at all nodes and returns when
+// each accepted number was in force everywhere, and every fall of a number.
+func late(s *fake.System, number int64, bound time.Duration) []string {
+	var out []string
+	begin := time.Now()
+	for time.Since(begin) <= bound {
+		if missing(s, number) == nil {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, name := range missing(s, number) {
+		out = append(out, fmt.Sprintf("%s has not %d in force after %s", name, number, bound))
+	}
+	return out
+}
+
+func missing(s *fake.System, number int64) []string {
+	var out []string
+	for _, name := range s.NodeNames() {
+		if _, have := s.Node(name).Node.Table().Configuration(); have < number {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+func TestConfigurationIsInForceEverywhere(t *testing.T) {
+	tests := []struct {
+		name string
+		hurt func(s *fake.System)
+	}{
+		{"no failure", func(*fake.System) {}},
+		{"all watches silent for good", func(s *fake.System) {
+			for _, name := range s.NodeNames() {
+				s.Node(name).Store.Set(platform.FaultDeafWatch)
+			}
+		}},
+		{"one node cut from the store", func(s *fake.System) { s.Node("n2").Store.Set(platform.FaultSilent) }},
+		{"one node cut from its peers", func(s *fake.System) {
+			for _, other := range []string{"n1", "n3", "n4"} {
+				s.Net.Cut("n2", other, true)
+				s.Net.Cut(other, "n2", true)
+			}
+		}},
+		{"store reachable by one node only", func(s *fake.System) {
+			for _, name := range []string{"n1", "n2", "n3"} {
+				s.Node(name).Store.Set(platform.FaultDown)
+			}
+		}},
+		{"answers of heartbeats are lost one way", func(s *fake.System) {
+			s.Node("n2").Store.Set(platform.FaultDown)
+			s.Net.Cut("n2", "n1", true)
+			s.Net.Cut("n2", "n3", true)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, options(document(1, 2, 1, 3), 4), func(is *is.I, s *fake.System) {
+				test.hurt(s)
+				for number := int64(2); number <= 4; number++ {
+					d := document(1, 2, 1, 3)
+					d.Workspaces[0].Limit = int(100 + number)
+					s.Apply(number-1, d)
+					is.Equal(late(s, number, inForceBound), nil)
+				}
+			})
+		})
+	}
+}
+
+// A node that has neither the store nor a peer must be caught.
+func TestCheckerSeesConfigurationNotInForce(t *testing.T) {
+	inBubble(t, options(document(1, 2, 1, 3), 2), func(is *is.I, s *fake.System) {
+		s.Node("n2").Store.Set(platform.FaultSilent)
+		s.Net.Cut("n2", "n1", true)
+		s.Net.Cut("n1", "n2", true)
+		d := document(1, 2, 1, 3)
+		d.Workspaces[0].Limit = 7
+		s.Apply(1, d)
+		is.True(len(late(s, 2, inForceBound)) > 0)
+	})
+}
+
+func TestConfigurationNeverReverts(t *testing.T) {
+	inBubble(t, options(document(1, 2, 1, 3), 3), func(is *is.I, s *fake.System) {
+		old, ok, err := s.Keys.Get(t.Context(), "eelgrass/state/configuration")
+		is.NoErr(err)
+		is.True(ok)
+		d := document(1, 2, 1, 3)
+		d.Workspaces[0].Limit = 7
+		s.Apply(1, d)
+		is.Equal(late(s, 2, inForceBound), nil)
+		// A read of an older state, as of a replica that lags: the old value
+		// comes as a new change.
+		_, err = s.Keys.Commit(t.Context(), ring.Txn{Writes: []ring.Write{{Key: old.Key, Value: old.Value}}})
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		s.StartNode("n4") // joins, reads the old state, and is handed the newer one
+		time.Sleep(3 * time.Second)
+		is.Equal(missing(s, 2), nil)
+	})
+}
+
+func TestNodeJoinsWhileTheStoreIsDown(t *testing.T) {
+	inBubble(t, options(document(1, 2, 1, 3), 2), func(is *is.I, s *fake.System) {
+		joined := s.StartNode("n3")
+		joined.Store.Set(platform.FaultDown)
+		// Its peers know it from its membership before the outage.
+		s.Introduce("n3")
+		is.NoErr(s.AwaitServing(1, 5*time.Second))
+		isWholeAnswer(is, s.Do(fake.Chat("n3", keyA, "x", 5)), "x", 5)
+	})
+}
+
+func TestServingGoesOnThroughAnHourWithoutStore(t *testing.T) {
+	inBubble(t, options(document(2, 2, 1, 5), 2), func(is *is.I, s *fake.System) {
+		for _, name := range s.NodeNames() {
+			s.Node(name).Store.Set(platform.FaultDown)
+		}
+		time.Sleep(time.Hour)
+		results := traffic(s, 2*time.Second)
+		is.Equal(wholeAnswers(results), len(results))
+		s.CrashEngine(members(s, "g1")[0].VM)
+		time.Sleep(5 * time.Second)
+		is.Equal(s.Serving("n1"), 1) // nothing is formed without the store
+		for _, name := range s.NodeNames() {
+			s.Node(name).Store.Set(platform.FaultNone)
+		}
+		is.NoErr(s.AwaitServing(2, 20*time.Second))
+		is.Equal(fake.CheckExclusive(s.Keys), nil)
+	})
+}
+
+func TestAmbiguousApplyIsSettledByReading(t *testing.T) {
+	inBubble(t, options(document(1, 2, 1, 3), 1), func(is *is.I, s *fake.System) {
+		d := document(1, 2, 1, 3)
+		d.Workspaces[0].Limit = 7
+		store := fake.NewStore(s.Keys)
+		store.Set(platform.FaultAmbiguous)
+		result, err := s.TryApply(store, 1, d, "ambiguous")
+		is.NoErr(err)
+		is.Equal(string(result.Outcome), "accepted")
+		is.Equal(result.Number, int64(2))
+
+		lost := fake.NewStore(s.Keys)
+		lost.Set(platform.FaultLost)
+		d.Workspaces[0].Limit = 8
+		result, err = s.TryApply(lost, 2, d, "lost")
+		is.NoErr(err)
+		is.Equal(string(result.Outcome), "unknown")
+
+		down := fake.NewStore(s.Keys)
+		down.Set(platform.FaultDown)
+		_, err = s.TryApply(down, 2, d, "down")
+		is.True(err != nil && !errors.Is(err, errors.ErrUnsupported)) // not accepted, and said so
+	})
+}
+
+func TestLossOfNodeIsSeenByItsPeers(t *testing.T) {
+	inBubble(t, options(document(1, 2, 1, 3), 3), func(is *is.I, s *fake.System) {
+		s.KillNode("n3")
+		time.Sleep(3 * time.Second) // the stated target
+		for _, p := range s.Node("n1").Node.Table().Peers() {
+			is.Equal(p.IsLive(time.Now()), p.Name == "n2")
+		}
+	})
+}
+
+func TestControllerIsReplaced(t *testing.T) {
+	inBubble(t, options(document(1, 3, 1, 5), 3), func(is *is.I, s *fake.System) {
+		s.KillNode(s.Controller())
+		s.CrashEngine(members(s, "g1")[1].VM)
+		begin := time.Now()
+		time.Sleep(time.Second)
+		is.NoErr(s.AwaitServing(1, 15*time.Second))
+		t.Logf("controller and member lost at once: serving after %s", time.Since(begin))
+	})
+}
--- a/internal/proof/exclusive_test.go
+++ b/internal/proof/exclusive_test.go
@@ -11,19 +11,19 @@
 
 // oldControllerWakes freezes the controller between its decision to give the
 // spare to g1 and the write, lets another controller give the spare to g2,
-// and thaws the old one.
+// and thaws the old one. Its probes go on until it has decided.
 func oldControllerWakes(is *is.I, s *fake.System) {
 	is.Helper()
 	old := s.Controller()
 	first := members(s, "g1")[1].VM
-	s.FreezeNode(old, true)
+	s.Node(old).Store.Freeze(true)
 	s.CrashEngine(first)
 	time.Sleep(1500 * time.Millisecond)
 	s.StartEngine(first)
 	time.Sleep(10 * time.Millisecond)
 	s.CrashEngine(members(s, "g2")[1].VM)
 	time.Sleep(12 * time.Second)
-	s.FreezeNode(old, false)
+	s.Node(old).Store.Freeze(false)
 	time.Sleep(5 * time.Second)
 }
 
--- /dev/null
+++ b/internal/proof/leaving_test.go
@@ -0,0 +1,152 @@
+package proof
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrassring.dev/internal/deployment"
+	"eelgrassring.dev/internal/fake"
+	"eelgrassring.dev/internal/standin/platform"
+)
+
+// leavingBound is the stated target: no new work within 3 s.
+const leavingBound = 3 * time.Second
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	tests := []struct {
+		name             string
+		byList, byReport bool
+		hurt             func(s *fake.System)
+	}{
+		{"by the list", true, false, func(*fake.System) {}},
+		{"by its own report", false, true, func(*fake.System) {}},
+		{"while the store is down", false, true, func(s *fake.System) {
+			for _, name := range s.NodeNames() {
+				s.Node(name).Store.Set(platform.FaultDown)
+			}
+		}},
+		{"while one node is cut from the store", true, false, func(s *fake.System) { s.Node("n2").Store.Set(platform.FaultSilent) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, options(document(2, 3, 1, 8), 3), func(is *is.I, s *fake.System) {
+				long := make(chan fake.Result, 6)
+				for i := range 6 {
+					go func() { long <- s.Do(fake.Chat(fmt.Sprintf("n%d", i%3+1), keyA, fmt.Sprint("long", i), 800)) }()
+				}
+				time.Sleep(500 * time.Millisecond)
+				test.hurt(s)
+				s.Leave(members(s, "g1")[1].VM, test.byList, test.byReport)
+				results := traffic(s, 6*time.Second)
+				is.Equal(fake.CheckLeaving(s.History, s.Keys, leavingBound), nil)
+				is.Equal(checkAnswers(results), nil)
+				for range 6 {
+					r := <-long
+					_, whole := r.Text()
+					is.True(whole) // streams in flight end whole
+				}
+			})
+		})
+	}
+}
+
+// When nobody says that the VM leaves, the check must find new work at it.
+func TestCheckerSeesWorkAtLeavingServer(t *testing.T) {
+	inBubble(t, options(document(2, 3, 1, 8), 3), func(is *is.I, s *fake.System) {
+		s.Leave(members(s, "g1")[1].VM, false, false)
+		s.Leave(members(s, "g2")[1].VM, false, false)
+		traffic(s, 6*time.Second)
+		is.True(len(fake.CheckLeaving(s.History, s.Keys, leavingBound)) > 0)
+	})
+}
+
+func TestLeavingVMIsReplacedBySpareAfterItsStreams(t *testing.T) {
+	inBubble(t, options(document(1, 3, 1, 5), 2), func(is *is.I, s *fake.System) {
+		leaving := members(s, "g1")[1].VM
+		s.Leave(leaving, true, false)
+		is.NoErr(s.AwaitServing(0, 3*time.Second))
+		is.NoErr(s.AwaitServing(1, 20*time.Second))
+		for _, m := range members(s, "g1") {
+			is.True(m.VM != leaving)
+		}
+	})
+}
+
+// drainUnderTraffic replaces all nodes one after the other by stop and
+// returns the streams that were cut off.
+func replaceAll(s *fake.System, stop func(name string)) (cut int, results []fake.Result) {
+	done := make(chan fake.Result, 1000)
+	sent := 0
+	for i, name := range []string{"n1", "n2", "n3"} {
+		for j := range 6 {
+			sent++
+			go func() { done <- s.Do(fake.Chat(name, keyA, fmt.Sprint(i, j), 400)) }()
+		}
+		time.Sleep(300 * time.Millisecond)
+		s.StartNode(fmt.Sprintf("n%d", i+4))
+		time.Sleep(2 * time.Second)
+		stop(name)
+	}
+	for range sent {
+		r := <-done
+		results = append(results, r)
+		if _, whole := r.Text(); !whole {
+			cut++
+		}
+	}
+	return cut, results
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	inBubble(t, options(document(2, 3, 1, 8), 3), func(is *is.I, s *fake.System) {
+		cut, _ := replaceAll(s, func(name string) { s.DrainNode(name, time.Second) })
+		is.Equal(cut, 0)
+		is.NoErr(s.AwaitServing(2, 20*time.Second)) // the new nodes took over
+		isWholeAnswer(is, s.Do(fake.Chat("n6", keyA, "after", 5)), "after", 5)
+	})
+}
+
+func TestDrainingNodeRecordsItsOutcomes(t *testing.T) {
+	inBubble(t, options(document(1, 2, 1, 3), 2), func(is *is.I, s *fake.System) {
+		c := fake.SignOff("n1", keyA, "S")
+		c.Body = `{"sample":"S","hold":2000}`
+		first := make(chan fake.Result, 1)
+		go func() { first <- s.Do(c) }()
+		time.Sleep(500 * time.Millisecond)
+		s.DrainNode("n1", time.Second)
+		is.Equal((<-first).Status, 201)
+		c.Node = "n2"
+		r := s.Do(c)
+		is.Equal(r.Header.Get("Eelgrass-Replayed"), "true")
+		is.Equal(runs(s, "S"), 1)
+	})
+}
+
+// Killing the nodes instead must be caught.
+func TestCheckerSeesCutStreams(t *testing.T) {
+	inBubble(t, options(document(2, 3, 1, 8), 3), func(is *is.I, s *fake.System) {
+		cut, _ := replaceAll(s, s.KillNode)
+		is.True(cut > 0)
+	})
+}
+
+func TestGroupGoesAwayWithItsDeclaration(t *testing.T) {
+	inBubble(t, options(document(2, 3, 1, 8), 2), func(is *is.I, s *fake.System) {
+		d := document(2, 3, 1, 8)
+		d.Groups = d.Groups[:1]
+		s.Apply(1, d)
+		time.Sleep(10 * time.Second)
+		is.Equal(s.Serving("n1"), 1)
+		is.Equal(len(s.Node("n1").Node.Table().Records()), 1)
+		d.Groups = []deployment.Group{d.Groups[0], {Name: "g9", Model: "m", Version: "2", Size: 4, Slots: 8}}
+		s.Apply(2, d)
+		time.Sleep(10 * time.Second)
+		is.Equal(len(members(s, "g9")), 4) // the released VMs serve again
+	})
+}
--- /dev/null
+++ b/internal/proof/refusal_test.go
@@ -0,0 +1,108 @@
+package proof
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrassring.dev/internal/fake"
+	"eelgrassring.dev/internal/standin/platform"
+)
+
+// falseRefusals sends a sign-off through every kind of trouble and returns
+// the samples that were run although their refusal says "not run".
+func falseRefusals(s *fake.System) []string {
+	var out []string
+	troubles := []struct {
+		name string
+		on   func()
+		off  func()
+	}{
+		{"none", func() {}, func() {}},
+		{"cut", func() { s.Net.Cut("n1", recordsAddress, true) }, func() { s.Net.Cut("n1", recordsAddress, false) }},
+		{"deaf", func() { s.Net.Deafen("n1", recordsAddress, true) }, func() { s.Net.Deafen("n1", recordsAddress, false) }},
+		{"deaf later", func() {
+			time.AfterFunc(100*time.Millisecond, func() { s.Net.Deafen("n1", recordsAddress, true) })
+		}, func() { s.Net.Deafen("n1", recordsAddress, false) }},
+		{"reset", func() {
+			time.AfterFunc(100*time.Millisecond, func() { s.Net.Reset("n1", recordsAddress) })
+		}, func() {}},
+		{"store down", func() { s.Node("n1").Store.Set(platform.FaultDown) }, func() { s.Node("n1").Store.Set(platform.FaultNone) }},
+		{"store ambiguous", func() { s.Node("n1").Store.Set(platform.FaultAmbiguous) }, func() { s.Node("n1").Store.Set(platform.FaultNone) }},
+		{"store silent", func() { s.Node("n1").Store.Set(platform.FaultSilent) }, func() { s.Node("n1").Store.Set(platform.FaultNone) }},
+	}
+	for _, trouble := range troubles {
+		trouble.on()
+		c := fake.SignOff("n1", keyA, trouble.name)
+		c.Once = "k" + trouble.name
+		c.Body = `{"sample":"` + trouble.name + `","hold":300}`
+		r := s.Do(c)
+		trouble.off()
+		time.Sleep(time.Second)
+		if f, failed := r.Failure(); failed && f.Ran == "no" && runs(s, trouble.name) > 0 {
+			out = append(out, trouble.name)
+		}
+	}
+	return out
+}
+
+func TestRefusalThatSaysNotRunIsTrue(t *testing.T) {
+	inBubble(t, options(document(1, 2, 1, 3), 2), func(is *is.I, s *fake.System) {
+		is.Equal(falseRefusals(s), nil)
+	})
+}
+
+// A transport that hides that the connection was open takes away what the
+// refusals stand on; the check must find one that is false.
+func TestCheckerSeesFalseRefusal(t *testing.T) {
+	o := options(document(1, 2, 1, 3), 2)
+	o.Transport = func(inner http.RoundTripper) http.RoundTripper {
+		return roundTrip(func(r *http.Request) (*http.Response, error) {
+			resp, err := inner.RoundTrip(r)
+			if err != nil {
+				return nil, &net.OpError{Op: "dial", Err: errors.New("hidden: " + err.Error())}
+			}
+			return resp, nil
+		})
+	}
+	inBubble(t, o, func(is *is.I, s *fake.System) {
+		is.True(len(falseRefusals(s)) > 0)
+	})
+}
+
+func TestBadInputIsRefusedAndNothingRuns(t *testing.T) {
+	inBubble(t, options(document(1, 2, 1, 3), 1), func(is *is.I, s *fake.System) {
+		good := fake.Chat("n1", keyA, "x", 5)
+		tests := []struct {
+			name   string
+			change func(c *fake.Call)
+			code   int
+		}{
+			{"unknown key", func(c *fake.Call) { c.Key = "none" }, 1001},
+			{"unreadable body", func(c *fake.Call) { c.Body = `{"model":` }, 1002},
+			{"body is no object", func(c *fake.Call) { c.Body = `[1]` }, 1002},
+			{"wrong type", func(c *fake.Call) { c.Body = `{"model":7}` }, 1002},
+			{"body over the limit", func(c *fake.Call) { c.Body = string(make([]byte, 1<<20+1)) }, 1003},
+			{"unknown model", func(c *fake.Call) { c.Body = `{"model":"none"}` }, 1004},
+			{"unknown version", func(c *fake.Call) { c.Body = `{"model":"m@9"}` }, 1004},
+			{"unknown adapter", func(c *fake.Call) { c.Body = `{"model":"m:none"}` }, 1004},
+			{"unknown service", func(c *fake.Call) { c.Path = "/services/none/x" }, 1006},
+			{"unknown path", func(c *fake.Call) { c.Path = "/v2/x" }, 1010},
+			{"patience that lies", func(c *fake.Call) { c.Header = map[string]string{"Eelgrass-Patience": "soon"} }, 1009},
+			{"version that no group has", func(c *fake.Call) { c.Body = `{"model":"m@2"}` }, 2004},
+		}
+		for _, test := range tests {
+			c := good
+			test.change(&c)
+			r := s.Do(c)
+			is.Equal(test.name+": "+itoa(number(r)), test.name+": "+itoa(test.code))
+			f, _ := r.Failure()
+			is.Equal(f.Ran, "no")
+		}
+		is.Equal(s.History.Requests(), 0)
+	})
+}
--- /dev/null
+++ b/internal/proof/stream_test.go
@@ -0,0 +1,169 @@
+package proof
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrassring.dev/internal/engine"
+	"eelgrassring.dev/internal/fake"
+	"eelgrassring.dev/internal/standin/platform"
+)
+
+// headOf returns the VM that got the last request of a node.
+func headAddress(s *fake.System) string { return s.History.LastSent().To }
+
+func TestBrokenStreamGoesOnWhole(t *testing.T) {
+	const tokens = 200
+	tests := []struct {
+		name string
+		hurt func(s *fake.System)
+	}{
+		{"head crashes", func(s *fake.System) { s.CrashEngine(s.VMAt(headAddress(s))) }},
+		{"another member crashes", func(s *fake.System) { s.CrashEngine(s.PartnerOf(headAddress(s))) }},
+		{"connection falls silent for good", func(s *fake.System) { s.Net.Deafen("n1", headAddress(s), true) }},
+		{"connection breaks and the group lives", func(s *fake.System) { s.Net.Reset("n1", headAddress(s)) }},
+		{"head pauses", func(s *fake.System) { s.PauseEngine(s.VMAt(headAddress(s))) }},
+		{"head crashes while the store is down", func(s *fake.System) {
+			for _, name := range s.NodeNames() {
+				s.Node(name).Store.Set(platform.FaultDown)
+			}
+			s.CrashEngine(s.VMAt(headAddress(s)))
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, options(document(2, 3, 1, 8), 2), func(is *is.I, s *fake.System) {
+				time.AfterFunc(time.Second, func() { test.hurt(s) })
+				r := s.Do(fake.Chat("n1", keyA, "long", tokens))
+				isWholeAnswer(is, r, "long", tokens)
+				is.True(s.History.Requests() > 1) // the answer came from two tries
+			})
+		})
+	}
+}
+
+func TestResumeAtTheSameGroupRepeatsNothing(t *testing.T) {
+	inBubble(t, options(document(1, 3, 1, 4), 1), func(is *is.I, s *fake.System) {
+		time.AfterFunc(time.Second, func() { s.Net.Reset("n1", headAddress(s)) })
+		r := s.Do(fake.Chat("n1", keyA, "long", 200))
+		isWholeAnswer(is, r, "long", 200)
+		is.Equal(s.Engine(s.VMAt(headAddress(s))).Counters().Resumed, 1)
+	})
+}
+
+func TestReplayWithAnotherTextIsSaid(t *testing.T) {
+	d := document(2, 3, 1, 8)
+	o := options(d, 1)
+	tries := 0
+	o.Transport = func(inner http.RoundTripper) http.RoundTripper {
+		return roundTrip(func(r *http.Request) (*http.Response, error) {
+			if tries++; tries > 1 {
+				r = withBody(r, func(b string) string { return strings.Replace(b, `"seed":7`, `"seed":8`, 1) })
+				r.Header.Del(engine.HeaderOffset)
+			}
+			return inner.RoundTrip(r)
+		})
+	}
+	inBubble(t, o, func(is *is.I, s *fake.System) {
+		time.AfterFunc(time.Second, func() { s.CrashEngine(s.VMAt(headAddress(s))) })
+		r := s.Do(fake.Chat("n1", keyA, "long", 200))
+		_, whole := r.Text()
+		is.True(!whole)
+		is.Equal(number(r), 3005)
+		text, _ := r.Text()
+		is.True(strings.HasPrefix(fake.Expected("long", 200), text)) // the part is the caller's own
+	})
+}
+
+// swapped gives each request the answer of the request before it, as a
+// connection that lost track would; honest says whether the answer still
+// names the request that it belongs to.
+func swapped(inner http.RoundTripper, honest bool) http.RoundTripper {
+	var last *http.Response
+	return roundTrip(func(r *http.Request) (*http.Response, error) {
+		resp, err := inner.RoundTrip(r)
+		if err != nil {
+			return resp, err
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return nil, err
+		}
+		resp.Body = io.NopCloser(bytes.NewReader(body))
+		given := *resp
+		if last != nil {
+			given = *last
+		}
+		keep := *resp
+		keep.Body = io.NopCloser(bytes.NewReader(body))
+		last = &keep
+		if !honest {
+			given.Header = given.Header.Clone()
+			given.Header.Set(engine.HeaderRequest, r.Header.Get(engine.HeaderRequest))
+		}
+		return &given, nil
+	})
+}
+
+func twoAnswers(s *fake.System) (first, second fake.Result) {
+	first = s.Do(fake.Chat("n1", keyA, "one", 5))
+	return first, s.Do(fake.Chat("n1", keyA, "two", 5))
+}
+
+func TestAnswerOfAnotherRequestIsDropped(t *testing.T) {
+	o := options(document(1, 3, 1, 4), 1)
+	o.Transport = func(inner http.RoundTripper) http.RoundTripper { return swapped(inner, true) }
+	inBubble(t, o, func(is *is.I, s *fake.System) {
+		first, second := twoAnswers(s)
+		isWholeAnswer(is, first, "one", 5)
+		text, whole := second.Text()
+		if whole {
+			is.Equal(text, fake.Expected("two", 5))
+		} else {
+			is.True(number(second) > 0)
+		}
+	})
+}
+
+// When answers do not name their request, the mechanism is off, and a
+// swapped answer must be caught by the check.
+func TestCheckerSeesForeignAnswer(t *testing.T) {
+	o := options(document(1, 3, 1, 4), 1)
+	o.Transport = func(inner http.RoundTripper) http.RoundTripper { return swapped(inner, false) }
+	inBubble(t, o, func(is *is.I, s *fake.System) {
+		_, second := twoAnswers(s)
+		text, whole := second.Text()
+		is.True(whole && text != fake.Expected("two", 5))
+	})
+}
+
+func TestWorkOfCallerThatLeftIsCancelled(t *testing.T) {
+	inBubble(t, options(document(1, 3, 1, 4), 1), func(is *is.I, s *fake.System) {
+		s.DoAndLeave(fake.Chat("n1", keyA, "long", 500), time.Second)
+		time.Sleep(time.Second) // the stated time
+		c := s.Engine(s.VMAt(headAddress(s))).Counters()
+		is.Equal(c.Cancelled, 1)
+		is.True(c.Tokens < 130)
+		is.Equal(s.Node("n1").Node.Table().Outstanding()["g1"], 0)
+	})
+}
+
+// roundTrip makes a transport of a function.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+func withBody(r *http.Request, change func(string) string) *http.Request {
+	body, _ := io.ReadAll(r.Body)
+	out := r.Clone(r.Context())
+	changed := change(string(body))
+	out.Body = io.NopCloser(strings.NewReader(changed))
+	out.ContentLength = int64(len(changed))
+	return out
+}
