proof: mixed failures by seed

Cause: two failures at once were not tried. What: 24 seeds of crashes, pauses, restarts, store faults, deaf and cut links and applies under traffic and sign-offs; all checkers, then full recovery.

--- /dev/null
+++ b/internal/proof/soup_test.go
@@ -0,0 +1,213 @@
+package proof
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+	"eelgrassring.dev/internal/fake"
+	"eelgrassring.dev/internal/standin/platform"
+)
+
+// soupSeeds is how many seeds of mixed failures a run of the tests tries.
+const soupSeeds = 24
+
+// soup draws failures by seed while traffic runs, and heals everything.
+type soup struct {
+	system *fake.System
+	random *rand.Rand
+	down   map[ring.VM]bool
+	paused map[ring.VM]bool
+	number int64
+}
+
+var storeFaults = []platform.Fault{
+	platform.FaultDown, platform.FaultSilent, platform.FaultAmbiguous, platform.FaultLost, platform.FaultDeafWatch, platform.FaultNone,
+}
+
+func (p *soup) vm() ring.VM {
+	vms := soupDocument(0).VMs
+	return vms[p.random.IntN(len(vms))].Name
+}
+
+func (p *soup) node() string { return fmt.Sprintf("n%d", p.random.IntN(3)+1) }
+
+func soupDocument(number int64) deployment.Document {
+	d := document(3, 2, 2, 5)
+	d.Workspaces[0].Limit = int(100 + number)
+	for i := range d.VMs {
+		if i%2 == 0 {
+			d.VMs[i].Fencing = deployment.FencingIgnored
+		}
+	}
+	return d
+}
+
+// strike causes one failure.
+func (p *soup) strike() {
+	vm, node := p.vm(), p.node()
+	switch p.random.IntN(9) {
+	case 0:
+		if !p.down[vm] {
+			p.system.CrashEngine(vm)
+			p.down[vm] = true
+		}
+	case 1:
+		if p.down[vm] {
+			p.system.StartEngine(vm)
+			p.down[vm], p.paused[vm] = false, false
+		}
+	case 2:
+		if !p.down[vm] && !p.paused[vm] {
+			p.system.PauseEngine(vm)
+			p.paused[vm] = true
+		}
+	case 3:
+		p.resume(vm)
+	case 4, 5:
+		p.system.Node(node).Store.Set(storeFaults[p.random.IntN(len(storeFaults))])
+	case 6:
+		p.system.Net.Deafen(node, soupDocument(0).VMs[p.random.IntN(10)].Address, p.random.IntN(2) == 0)
+	case 7:
+		other := p.node()
+		cut := p.random.IntN(2) == 0
+		p.system.Net.Cut(node, other, cut)
+		p.system.Net.Cut(other, node, cut)
+	case 8:
+		p.apply()
+	}
+}
+
+func (p *soup) resume(vm ring.VM) {
+	if p.paused[vm] && !p.down[vm] {
+		p.system.ResumeEngine(vm)
+		p.paused[vm] = false
+	}
+}
+
+func (p *soup) apply() {
+	p.system.Apply(p.number, soupDocument(p.number))
+	p.number++
+}
+
+func (p *soup) heal() {
+	for _, vm := range soupDocument(0).VMs {
+		p.resume(vm.Name)
+		if p.down[vm.Name] {
+			p.system.StartEngine(vm.Name)
+		}
+		for _, name := range p.system.NodeNames() {
+			p.system.Net.Deafen(name, vm.Address, false)
+		}
+	}
+	for _, name := range p.system.NodeNames() {
+		p.system.Node(name).Store.Set(platform.FaultNone)
+		for _, other := range p.system.NodeNames() {
+			p.system.Net.Cut(name, other, false)
+		}
+	}
+}
+
+// numbersFell samples the numbers in force until stop closes and counts falls.
+func numbersFell(s *fake.System, stop <-chan struct{}) <-chan int {
+	out := make(chan int, 1)
+	go func() {
+		highest := map[string]int64{}
+		falls := 0
+		for {
+			select {
+			case <-stop:
+				out <- falls
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+			for _, name := range s.NodeNames() {
+				_, number := s.Node(name).Node.Table().Configuration()
+				if number < highest[name] {
+					falls++
+				}
+				highest[name] = number
+			}
+		}
+	}()
+	return out
+}
+
+func TestInvariantsUnderMixedFailures(t *testing.T) {
+	for seed := range uint64(soupSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			inBubble(t, options(soupDocument(0), 3), func(is *is.I, s *fake.System) {
+				p := &soup{system: s, random: rand.New(rand.NewPCG(seed, 1)), down: map[ring.VM]bool{}, paused: map[ring.VM]bool{}, number: 1}
+				stop := make(chan struct{})
+				falls := numbersFell(s, stop)
+				answers := make(chan []fake.Result, 1)
+				go func() { answers <- traffic(s, 20*time.Second) }()
+				signed := make(chan map[string][]fake.Result, 1)
+				go func() { signed <- signOffs(s, seed) }()
+				for range 25 {
+					time.Sleep(time.Duration(p.random.IntN(800)) * time.Millisecond)
+					p.strike()
+				}
+				results, once := <-answers, <-signed
+				p.heal()
+				is.NoErr(s.AwaitServing(3, 60*time.Second)) // everything comes back
+				close(stop)
+				is.Equal(<-falls, 0)
+				is.Equal(late(s, p.number, inForceBound), nil)
+				is.Equal(fake.CheckWhole(s.History, s.Keys, staleBound), nil)
+				is.Equal(fake.CheckExclusive(s.Keys), nil)
+				is.Equal(fake.CheckEpochs(s.Keys), nil)
+				is.Equal(checkAnswers(results), nil)
+				is.Equal(checkOnce(s, once), nil)
+			})
+		})
+	}
+}
+
+// signOffs sends each of a number of sign-offs through several nodes.
+func signOffs(s *fake.System, seed uint64) map[string][]fake.Result {
+	out := map[string][]fake.Result{}
+	for i := range 20 {
+		sample := fmt.Sprintf("S%d-%d", seed, i)
+		done := make(chan fake.Result, 3)
+		for _, name := range s.NodeNames() {
+			go func() { done <- s.Do(fake.SignOff(name, keyA, sample)) }()
+		}
+		for range 3 {
+			out[sample] = append(out[sample], <-done)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return out
+}
+
+// checkOnce finds doubled runs, answers without a run, and callers who were
+// all told "not run" of a sample that ran.
+func checkOnce(s *fake.System, once map[string][]fake.Result) []string {
+	var out []string
+	for sample, results := range once {
+		n := runs(s, sample)
+		if n > 1 {
+			out = append(out, fmt.Sprintf("%s ran %d times", sample, n))
+		}
+		refused := 0
+		for _, r := range results {
+			f, failed := r.Failure()
+			if failed && f.Ran == "no" {
+				refused++
+			}
+			if !failed && n == 0 {
+				out = append(out, sample+" was answered and did not run")
+			}
+		}
+		if refused == len(results) && n > 0 {
+			out = append(out, sample+" ran, and all were told that it did not")
+		}
+	}
+	return out
+}
