--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := . ./cmd/backend ./cmd/eelgrass ./cmd/eelgrassd ./cmd/platform ./examples/cooperative ./examples/ferrando
+MODULES := . ./cmd/backend ./cmd/eelgrass ./cmd/eelgrassd ./cmd/platform ./examples/client ./examples/cooperative ./examples/ferrando
 PACKAGES := $(addsuffix /...,$(MODULES))
 
 .PHONY: build demo test up down lint
--- /dev/null
+++ b/catalogue_test.go
@@ -0,0 +1,58 @@
+package eelgrassring_test
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/event"
+)
+
+// rows returns the table rows of a page that begin with a number.
+func rows(t *testing.T, path string) []string {
+	t.Helper()
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out []string
+	for _, line := range strings.Split(string(text), "\n") {
+		if strings.HasPrefix(line, "| ") && strings.ContainsAny(line[2:3], "0123456789") {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+func TestErrorTableMatchesCode(t *testing.T) {
+	is := is.New(t)
+	table := rows(t, "docs/ERRORS.md")
+	codes := ring.Codes()
+	is.Equal(len(table), len(codes))
+	for i, c := range codes {
+		want := fmt.Sprintf("| %d | %s | %d | %s | %t |", c.Code, c.Name, c.Status, c.Ran, c.Retry)
+		is.True(strings.HasPrefix(table[i], want)) // docs/ERRORS.md row
+	}
+}
+
+func TestEventCatalogueMatchesCode(t *testing.T) {
+	is := is.New(t)
+	table := rows(t, "docs/EVENTS.md")
+	kinds := event.Kinds()
+	is.Equal(len(table), len(kinds))
+	for i, k := range kinds {
+		want := fmt.Sprintf("| %d | %s | %s |", k.Number, k.Name, k.Level)
+		is.True(strings.HasPrefix(table[i], want)) // docs/EVENTS.md row
+	}
+}
+
+// ExampleCode_Info shows how a result code tells whether the request ran.
+func ExampleCode_Info() {
+	info := ring.CodeClaimUnavailable.Info()
+	fmt.Println(info.Name, info.Status, info.Ran)
+	// Output: claim_unavailable 503 no
+}
--- /dev/null
+++ b/cmd/eelgrassd/main_test.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func checkSettings(t *testing.T, text string) (string, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "n1.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c := command()
+	var out bytes.Buffer
+	c.SetOut(&out)
+	c.SetArgs([]string{"--settings", path, "--check-settings"})
+	err := c.Execute()
+	return out.String(), err
+}
+
+const goodSettings = `{
+  // A node.
+  "name": "n1", "zone": "a", "callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "admin": "127.0.0.1:3",
+  "store": "127.0.0.1:4", "vms": "127.0.0.1:5",
+}`
+
+func TestCheckSettings(t *testing.T) {
+	is := is.New(t)
+	out, err := checkSettings(t, goodSettings)
+	is.NoErr(err)
+	is.True(strings.HasSuffix(out, "are valid\n"))
+}
+
+func TestBadSettingsAreReportedTogether(t *testing.T) {
+	is := is.New(t)
+	_, err := checkSettings(t, strings.Replace(goodSettings, `"name": "n1"`, `"name": "", "queue": 0, "log": "loud"`, 1))
+	is.True(err != nil)
+	for _, want := range []string{"3:11: /name: must not be empty", "/queue: must be above 0", `/log: must be debug, info, warn or error, not "loud"`} {
+		is.True(strings.Contains(err.Error(), want))
+	}
+	_, err = checkSettings(t, strings.Replace(goodSettings, `"zone"`, `"zones"`, 1))
+	is.True(strings.Contains(err.Error(), `/zones: unknown field; did you mean "zone"?`))
+}
--- /dev/null
+++ b/examples/client/main.go
@@ -0,0 +1,68 @@
+// Command client calls a node with the official Go client of the
+// OpenAI-compatible API, unchanged: it lists the models, streams a chat and
+// asks for one whole.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+)
+
+func main() {
+	base := flag.String("base", "http://127.0.0.1:8081/v1", "callers' address of a node")
+	key := flag.String("key", "example-minas-reports", "bearer key")
+	model := flag.String("model", "drafting:assay", "model")
+	flag.Parse()
+	client := openai.NewClient(option.WithBaseURL(*base), option.WithAPIKey(*key))
+	if err := run(context.Background(), client, *model, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "client:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, client openai.Client, model string, w io.Writer) error {
+	models, err := client.Models.List(ctx)
+	if err != nil {
+		return fmt.Errorf("list models: %w", err)
+	}
+	for _, m := range models.Data {
+		fmt.Fprintln(w, "model", m.ID)
+	}
+	params := openai.ChatCompletionNewParams{
+		Model:         model,
+		Messages:      []openai.ChatCompletionMessageParamUnion{openai.UserMessage("Summarise hole 7")},
+		MaxTokens:     openai.Int(8),
+		Seed:          openai.Int(7),
+		StreamOptions: openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)},
+	}
+	stream := client.Chat.Completions.NewStreaming(ctx, params)
+	streamed := ""
+	var tokens int64
+	for stream.Next() {
+		chunk := stream.Current()
+		tokens = max(tokens, chunk.Usage.CompletionTokens)
+		for _, c := range chunk.Choices {
+			streamed += c.Delta.Content
+		}
+	}
+	if err := stream.Err(); err != nil {
+		return fmt.Errorf("stream: %w", err)
+	}
+	fmt.Fprintf(w, "streamed %d tokens: %s\n", tokens, streamed)
+	params.StreamOptions = openai.ChatCompletionStreamOptionsParam{}
+	whole, err := client.Chat.Completions.New(ctx, params)
+	if err != nil {
+		return fmt.Errorf("whole answer: %w", err)
+	}
+	if whole.Choices[0].Message.Content != streamed {
+		return fmt.Errorf("the whole answer is not the streamed one")
+	}
+	fmt.Fprintln(w, "whole answer is the same")
+	return nil
+}
--- a/internal/deployment/configuration.go
+++ b/internal/deployment/configuration.go
@@ -187,7 +187,8 @@
 	return Target{}, false
 }
 
-// Names lists every model name that a caller of the application may use.
+// Names lists every model name that a caller of the application may use and
+// that a declared group serves.
 func (c *Configuration) Names(a Application) []string {
 	var out []string
 	for _, m := range c.document.Models {
@@ -196,12 +197,23 @@
 		}
 		out = append(out, string(m.Name))
 		for _, ad := range m.Adapters {
-			out = append(out, fmt.Sprintf("%s:%s", m.Name, ad.Name))
+			if c.isLoaded(m.Name, ad.Name) {
+				out = append(out, fmt.Sprintf("%s:%s", m.Name, ad.Name))
+			}
 		}
 	}
 	return out
 }
 
+func (c *Configuration) isLoaded(m ring.Model, a ring.Adapter) bool {
+	for _, g := range c.document.Groups {
+		if g.Model == m && contains(g.Adapters, a) {
+			return true
+		}
+	}
+	return false
+}
+
 // Serves reports whether a group with this spec can answer for the target.
 func (t Target) Serves(spec ring.Spec) bool {
 	if spec.Model != t.Model {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"time"
 
@@ -174,7 +175,11 @@
 }
 
 func (n *Node) runPace(ctx context.Context) {
-	every(ctx, time.Second, func(context.Context) { n.table.RefreshPace() })
+	known := map[ring.VM]bool{}
+	every(ctx, time.Second, func(context.Context) {
+		n.table.RefreshPace()
+		n.noteLeaving(known)
+	})
 }
 
 func (n *Node) runList(ctx context.Context) {
@@ -188,6 +193,16 @@
 	})
 }
 
+// noteLeaving logs VMs that were not known to be leaving before.
+func (n *Node) noteLeaving(known map[ring.VM]bool) {
+	for _, vm := range n.table.Leaving() {
+		if !known[vm] {
+			known[vm] = true
+			n.log.Write(event.VMLeaving, slog.String("vm", string(vm)))
+		}
+	}
+}
+
 // tell hands an event to the controller's loop if it runs; a full queue drops
 // it, for every event comes again.
 func (n *Node) tell(e placement.Event) {
--- /dev/null
+++ b/internal/strictjson/strictjson_test.go
@@ -0,0 +1,65 @@
+package strictjson
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+type inner struct {
+	Size int `json:"size"`
+}
+
+type sample struct {
+	Name  string  `json:"name"`
+	Items []inner `json:"items"`
+}
+
+func TestDecodeReportsAllFaults(t *testing.T) {
+	tests := []struct {
+		name, text string
+		want       []string
+	}{
+		{"good", `{"name":"x", /* note */ "items":[{"size":1},],}`, nil},
+		{"unknown field with a hint", "{\n  \"nam\": \"x\"}", []string{`2:3: /nam: unknown field; did you mean "name"?`}},
+		{"several", `{"name":7,"items":[{"size":"a"},{"sise":1}]}`, []string{
+			"1:9: /name: want a string", "1:28: /items/0/size: want a whole number", "1:34: /items/1/sise: unknown field; known are size",
+		}},
+		{"twice", `{"name":"a","name":"b"}`, []string{"1:13: /name: field stands twice"}},
+		{"wrong shape", `{"items":{}}`, []string{"1:10: /items: want an array"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			d, err := Parse([]byte(test.text))
+			is.NoErr(err)
+			var out sample
+			err = d.Decode(&out)
+			if test.want == nil {
+				is.NoErr(err)
+				return
+			}
+			is.Equal(err.Error(), strings.Join(test.want, "\n"))
+		})
+	}
+}
+
+func TestSyntaxErrorHasPosition(t *testing.T) {
+	is := is.New(t)
+	_, err := Parse([]byte("{\n  \"name\": ]\n}"))
+	is.True(strings.HasPrefix(err.Error(), "2:11: "))
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(`{"name":"x","items":[{"size":1}]}`)
+	f.Add("{//\n}")
+	f.Fuzz(func(t *testing.T, text string) {
+		d, err := Parse([]byte(text))
+		if err != nil {
+			return
+		}
+		var out sample
+		_ = d.Decode(&out) // must not panic
+	})
+}
--- a/result.go
+++ b/result.go
@@ -36,7 +36,6 @@
 	CodeOverloaded       Code = 2002
 	CodeDeadline         Code = 2003
 	CodeNoGroup          Code = 2004
-	CodeDraining         Code = 2005
 	CodeNoConfiguration  Code = 2006
 	CodeClaimUnavailable Code = 2007
 	CodeClaimRate        Code = 2008
@@ -74,7 +73,6 @@
 	{CodeOverloaded, "overloaded", http.StatusServiceUnavailable, RanNo, true},
 	{CodeDeadline, "deadline", http.StatusServiceUnavailable, RanNo, true},
 	{CodeNoGroup, "no_group", http.StatusServiceUnavailable, RanNo, true},
-	{CodeDraining, "draining", http.StatusServiceUnavailable, RanNo, true},
 	{CodeNoConfiguration, "no_configuration", http.StatusServiceUnavailable, RanNo, true},
 	{CodeClaimUnavailable, "claim_unavailable", http.StatusServiceUnavailable, RanNo, true},
 	{CodeClaimRate, "claim_rate", http.StatusTooManyRequests, RanNo, true},
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -26,6 +26,9 @@
 grep -q 'data: \[DONE\]' "$run_dir/stream.txt" || fail "the stream is not whole"
 [ "$(grep -c '"delta":{"content"' "$run_dir/stream.txt")" = 12 ] || fail "the stream has not 12 tokens"
 
+step "the official client of the API, unchanged"
+bin/client || fail "the official client failed"
+
 step "sign a sample off twice with one key, through two nodes"
 for n in 1 2; do
 	curl -s -i -X POST -H "$key" -H "$json" -H 'Idempotency-Key: demo-1' -d '{"sample":"S-1"}' \
