reservation: ask a group's home for a place

Cause: heartbeats are 400 ms late; at 80% load requests went to groups that were full or busy with a prefill.

--- a/internal/fake/system.go
+++ b/internal/fake/system.go
@@ -396,6 +396,25 @@
 	return m.Node.Hear(ctx, self), nil
 }
 
+// Reserve implements node.PeerClient.
+func (p *peerClient) Reserve(ctx context.Context, address string, g ring.Group, holder string) (bool, error) {
+	m, err := p.reach(ctx, address)
+	if err != nil {
+		return false, err
+	}
+	return m.Node.GrantPlace(g, holder), nil
+}
+
+// Note implements node.PeerClient.
+func (p *peerClient) Note(ctx context.Context, address, holder string, n node.Notes) error {
+	m, err := p.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	m.Node.TakeNotes(holder, n)
+	return nil
+}
+
 // Configuration implements node.PeerClient.
 func (p *peerClient) Configuration(ctx context.Context, address string, _ int64) (node.Handover, error) {
 	m, err := p.reach(ctx, address)
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -134,6 +134,11 @@
 		return
 	}
 	s.budget.Request()
+	if !q.stream {
+		// The first token of a whole answer is not seen; the request does not
+		// count as waiting for it.
+		grant.Started()
+	}
 	if key != "" {
 		defer grant.Release()
 		s.completeOnce(w, r, c, q, grant, key)
--- a/internal/gateway/once.go
+++ b/internal/gateway/once.go
@@ -134,7 +134,7 @@
 func (s *Server) dispatchCompletion(w http.ResponseWriter, r *http.Request, c *call, q *completion, grant *Grant) onceResult {
 	// The request goes on when its caller leaves: a later try gets the answer.
 	ctx := context.WithoutCancel(r.Context())
-	out := &relay{server: s, w: w, call: c, query: q, record: &bytes.Buffer{}}
+	out := &relay{server: s, w: w, call: c, query: q, record: &bytes.Buffer{}, onFirst: grant.Started}
 	err := out.try(ctx, grant.Route(), true)
 	if err == nil {
 		kind := w.Header().Get("Content-Type")
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -38,6 +38,8 @@
 	// record keeps the raw answer for a claim.
 	record *bytes.Buffer
 	status int
+	// onFirst hears of each piece of an answer.
+	onFirst func()
 }
 
 // mayGoOn reports whether another try may continue the answer.
@@ -161,6 +163,7 @@
 			return &tryError{reach: reachSent, err: fmt.Errorf("stream broke: %w", err)}
 		}
 		dog.feed(s.config.Gap)
+		o.onFirst()
 		now := time.Now()
 		if !last.IsZero() {
 			s.config.Metrics.Observe(metric.SpanGap, o.call.class, now.Sub(last))
--- a/internal/gateway/schedule.go
+++ b/internal/gateway/schedule.go
@@ -43,15 +43,25 @@
 	tried     map[ring.Group]bool
 	// resumed is set once a broken stream was resumed at its group.
 	resumed bool
+	// started is set once the group gave a first token.
+	started bool
 }
 
 // Route returns the group that the request may go to.
 func (g *Grant) Route() node.Route { return g.route }
 
+// places tells the homes of groups what became of a request there.
+type places interface {
+	NoteTaken(ring.Group)
+	NoteStarted(ring.Group)
+	NoteReleased(ring.Group)
+}
+
 // Scheduler starts requests in a fair order while their workspace is within
 // its limit and a group has a free slot.
 type Scheduler struct {
 	table  *node.Table
+	places places
 	picker routing.Picker
 	random *rand.Rand
 
@@ -66,9 +76,10 @@
 }
 
 // NewScheduler returns a scheduler over the node's table.
-func NewScheduler(t *node.Table, queueLimit int) *Scheduler {
+func NewScheduler(t *node.Table, p places, queueLimit int) *Scheduler {
 	return &Scheduler{
 		table:   t,
+		places:  p,
 		picker:  routing.Affinity{},
 		random:  rand.New(rand.NewPCG(1, 2)),
 		queue:   limit.NewQueue(queueLimit),
@@ -205,7 +216,7 @@
 	if len(s.candidates) == 0 {
 		return node.Route{}, false
 	}
-	i := s.picker.Pick(a.Key, s.candidates, now, s.random)
+	i := s.picker.Pick(a.Key, s.candidates, s.random)
 	if i < 0 {
 		return node.Route{}, false
 	}
@@ -245,16 +256,28 @@
 }
 
 // Again moves the grant to a group that was not tried; it reports false when
-// none has a free slot now.
+// none has a free slot now. The home of the new group is told, not asked: a
+// retry has waited enough.
 func (g *Grant) Again() bool {
-	s := g.scheduler
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if g.tried == nil {
 		g.tried = map[ring.Group]bool{}
 	}
 	g.tried[g.route.Group] = true
-	route, ok := s.pick(g.ask, g.tried, time.Now())
+	old := g.route.Group
+	if !g.move(g.tried) {
+		return false
+	}
+	g.leave(old)
+	g.scheduler.places.NoteTaken(g.route.Group)
+	return true
+}
+
+// move changes the grant's group to one that is not passed over.
+func (g *Grant) move(passed map[ring.Group]bool) bool {
+	s := g.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	route, ok := s.pick(g.ask, passed, time.Now())
 	if !ok {
 		return false
 	}
@@ -264,9 +287,29 @@
 	return true
 }
 
+// Started tells the group's home of the first token.
+func (g *Grant) Started() {
+	if !g.started {
+		g.started = true
+		g.scheduler.places.NoteStarted(g.route.Group)
+	}
+}
+
+// leave tells a group's home that the request is no longer there.
+func (g *Grant) leave(group ring.Group) {
+	if !g.started {
+		g.scheduler.places.NoteStarted(group)
+	}
+	g.started = false
+	g.scheduler.places.NoteReleased(group)
+}
+
 // Release gives the place back.
 func (g *Grant) Release() {
 	s := g.scheduler
+	if g.ask.Target != nil {
+		g.leave(g.route.Group)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if g.ask.Target != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -79,7 +79,7 @@
 	s := &Server{
 		config:    c,
 		table:     c.Node.Table(),
-		scheduler: NewScheduler(c.Node.Table(), c.Queue),
+		scheduler: NewScheduler(c.Node.Table(), c.Node, c.Queue),
 		budget:    retry.NewBudget(retry.DefaultConfig()),
 		kept:      c.Kept,
 		fresh:     c.Fresh,
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -17,6 +17,7 @@
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/node"
+	"eelgrassring.dev/internal/reservation"
 )
 
 // maxTries bounds the dispatches of one idempotent request.
@@ -74,6 +75,7 @@
 // budget allows.
 func (s *Server) completeAny(w http.ResponseWriter, r *http.Request, c *call, q *completion, grant *Grant) {
 	out := &relay{server: s, w: w, call: c, query: q}
+	out.onFirst = func() { grant.Started() }
 	defer func() { grant.Release() }()
 	for n := 1; ; n++ {
 		err := out.try(r.Context(), grant.Route(), n > 1)
@@ -114,6 +116,7 @@
 		return grant, failure
 	}
 	grant.Release()
+	s.config.Node.NoteTaken(next.Route().Group)
 	return next, nil
 }
 
@@ -177,12 +180,34 @@
 	w.cancel(nil)
 }
 
+// reserve asks the homes of at most two groups for a place. A home only
+// advises: after two refusals, or without an answer, the request goes by this
+// node's own estimate.
+func (s *Server) reserve(ctx context.Context, g *Grant) {
+	passed := map[ring.Group]bool{}
+	for range reservation.Asks {
+		place := s.config.Node.Reserve(ctx, g.Route())
+		s.config.Metrics.Count("asks", 1)
+		if place == node.PlaceGranted {
+			return
+		}
+		passed[g.Route().Group] = true
+		if place == node.PlaceUnknown || !g.move(passed) {
+			break
+		}
+	}
+	s.config.Node.NoteTaken(g.Route().Group)
+}
+
 // acquire waits for a start and measures the wait.
 func (s *Server) acquire(r *http.Request, c *call, a Ask) (*Grant, *ring.Failure) {
 	begin := time.Now()
 	grant, failure := s.scheduler.Acquire(r.Context(), a)
 	s.config.Metrics.Observe(metric.SpanQueue, c.class, time.Since(begin))
 	s.config.Metrics.Count("requests", 1, "workspace", string(c.class.Workspace), "class", string(c.class.Priority))
+	if failure == nil && a.Target != nil {
+		s.reserve(r.Context(), grant)
+	}
 	return grant, failure
 }
 
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -71,6 +71,7 @@
 	lost := map[string]bool{}
 	every(ctx, n.config.Timing.Heartbeat, func(ctx context.Context) {
 		self := n.self()
+		n.book.Correct(n.config.Name, self.Outstanding)
 		var wait sync.WaitGroup
 		for _, p := range n.table.Peers() {
 			wait.Go(func() { n.heartbeat(ctx, p, self) })
@@ -122,6 +123,7 @@
 			n.log.Write(event.PeerFound, slog.String("peer", p.Name))
 			continue
 		}
+		n.book.Drop(p.Name)
 		n.log.Write(event.PeerLost, slog.String("peer", p.Name))
 	}
 }
@@ -131,6 +133,7 @@
 func (n *Node) Hear(ctx context.Context, p Peer) int64 {
 	p.Heard = time.Now()
 	n.table.PutPeer(p)
+	n.book.Correct(p.Name, p.Outstanding)
 	_, number := n.table.Configuration()
 	if p.Number > number {
 		go n.fetch(context.WithoutCancel(ctx), p.Address, number)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/reservation"
 )
 
 // Timing holds the intervals of a node's loops and the spans of its leases.
@@ -57,6 +58,19 @@
 	Heartbeat(ctx context.Context, address string, self Peer) (int64, error)
 	// Configuration fetches the configuration and the records of a peer.
 	Configuration(ctx context.Context, address string, after int64) (Handover, error)
+	// Reserve asks the home of a group for a place.
+	Reserve(ctx context.Context, address string, g ring.Group, holder string) (bool, error)
+	// Note tells a home what became of places.
+	Note(ctx context.Context, address, holder string, n Notes) error
+}
+
+// Notes are the news for one home, by group.
+type Notes struct {
+	// Taken lists requests that were sent without asking, Started first
+	// tokens and Released ends.
+	Taken    []ring.Group
+	Started  []ring.Group
+	Released []ring.Group
 }
 
 // Handover is what a node gives a peer that is behind.
@@ -94,8 +108,9 @@
 	table    *Table
 	log      *event.Log
 	events   chan placement.Event
-	resync   chan struct{}
 	measures *Measures
+	book     *reservation.Book
+	outbox   *outbox
 
 	mu       sync.Mutex
 	draining bool
@@ -111,8 +126,9 @@
 		table:    c.Table,
 		log:      c.Log,
 		events:   make(chan placement.Event, 4096),
-		resync:   make(chan struct{}, 1),
 		measures: &Measures{},
+		book:     reservation.NewBook(),
+		outbox:   newOutbox(),
 		storeUp:  true,
 	}
 }
@@ -131,7 +147,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var wait sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.runWatch, n.runResync, n.runProbes, n.runList, n.runMembership, n.runHeartbeats, n.runControl, n.runPace,
+		n.runWatch, n.runResync, n.runProbes, n.runList, n.runMembership, n.runHeartbeats, n.runControl, n.runPace, n.runNotes,
 	} {
 		wait.Go(func() { loop(ctx) })
 	}
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -312,6 +312,7 @@
 	Group   ring.Group
 	Epoch   ring.Epoch
 	Address string
+	Slots   int
 }
 
 // GroupState is a group as this node sees it.
@@ -385,10 +386,12 @@
 			continue
 		}
 		c = append(c, routing.Candidate{
-			Hash: routing.Hash(string(d.Name)), Slots: float64(stored.Record.Slots),
-			Load: t.load(d.Name, now), Slowness: t.slownessOf(d.Name), ReadyAt: stored.Record.ReadyAt,
+			Hash: routing.Hash(string(d.Name)), Load: t.load(d.Name, now),
+			Capacity: routing.Capacity(routing.State{
+				Slots: stored.Record.Slots, Slowness: t.slownessOf(d.Name), ReadyAt: stored.Record.ReadyAt,
+			}, now),
 		})
-		r = append(r, Route{Group: d.Name, Epoch: stored.Record.Epoch, Address: head.Address})
+		r = append(r, Route{Group: d.Name, Epoch: stored.Record.Epoch, Address: head.Address, Slots: stored.Record.Slots})
 	}
 	return c, r
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -88,6 +88,50 @@
 	return handoverOf(r)
 }
 
+// Reserve implements node.PeerClient.
+func (c *Client) Reserve(ctx context.Context, address string, g ring.Group, holder string) (bool, error) {
+	conn, err := c.conn(address)
+	if err != nil {
+		return false, err
+	}
+	r, err := pb.NewPeerClient(conn).Reserve(ctx, &pb.ReserveRequest{Group: string(g), Holder: holder})
+	if err != nil {
+		// The span is short, and a heartbeat finds out whether the connection
+		// is silent; it is kept.
+		return false, fmt.Errorf("reserve at %s: %w", address, err)
+	}
+	return r.Granted, nil
+}
+
+// Note implements node.PeerClient.
+func (c *Client) Note(ctx context.Context, address, holder string, n node.Notes) error {
+	conn, err := c.conn(address)
+	if err != nil {
+		return err
+	}
+	request := &pb.NoteRequest{Holder: holder, Started: names(n.Started), Released: names(n.Released), Taken: names(n.Taken)}
+	if _, err := pb.NewPeerClient(conn).Note(ctx, request); err != nil {
+		return fmt.Errorf("note to %s: %w", address, err)
+	}
+	return nil
+}
+
+func names(groups []ring.Group) []string {
+	out := make([]string, len(groups))
+	for i, g := range groups {
+		out[i] = string(g)
+	}
+	return out
+}
+
+func groupsOf(names []string) []ring.Group {
+	out := make([]ring.Group, len(names))
+	for i, n := range names {
+		out[i] = ring.Group(n)
+	}
+	return out
+}
+
 func handoverOf(r *pb.ConfigurationResponse) (node.Handover, error) {
 	out := node.Handover{Number: r.Revision, Document: r.Document}
 	for _, one := range r.Records {
@@ -161,3 +205,14 @@
 	}
 	return out, nil
 }
+
+// Reserve answers a peer that asks this node as the home of a group.
+func (s *Server) Reserve(_ context.Context, r *pb.ReserveRequest) (*pb.ReserveResponse, error) {
+	return &pb.ReserveResponse{Granted: s.node.GrantPlace(ring.Group(r.Group), r.Holder)}, nil
+}
+
+// Note takes a peer's news as a home.
+func (s *Server) Note(_ context.Context, r *pb.NoteRequest) (*pb.NoteResponse, error) {
+	s.node.TakeNotes(r.Holder, node.Notes{Taken: groupsOf(r.Taken), Started: groupsOf(r.Started), Released: groupsOf(r.Released)})
+	return &pb.NoteResponse{}, nil
+}
--- a/internal/routing/baseline.go
+++ b/internal/routing/baseline.go
@@ -1,9 +1,6 @@
 package routing
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "math/rand/v2"
 
 // The baselines that Affinity is measured against.
 type (
@@ -17,25 +14,16 @@
 	PowerOfTwo struct{}
 )
 
-func free(c *Candidate, now time.Time) bool {
-	return !c.Excluded && c.Load+1 <= c.capacity(now)
+func isFree(c *Candidate) bool {
+	return !c.Excluded && c.Load+1 <= c.Capacity
 }
 
-// Pick implements Picker.
-func (Random) Pick(_ uint64, candidates []Candidate, now time.Time, random *rand.Rand) int {
-	return firstFree(candidates, random.IntN(len(candidates)), now)
-}
-
-// Pick implements Picker.
-func (r *RoundRobin) Pick(_ uint64, candidates []Candidate, now time.Time, _ *rand.Rand) int {
-	r.next++
-	return firstFree(candidates, r.next%len(candidates), now)
-}
+func used(c *Candidate) float64 { return c.Load / c.Capacity }
 
-func firstFree(candidates []Candidate, from int, now time.Time) int {
+func firstFree(candidates []Candidate, from int) int {
 	for i := range candidates {
 		at := (from + i) % len(candidates)
-		if free(&candidates[at], now) {
+		if isFree(&candidates[at]) {
 			return at
 		}
 	}
@@ -43,28 +31,27 @@
 }
 
 // Pick implements Picker.
-func (LeastOutstanding) Pick(_ uint64, candidates []Candidate, now time.Time, _ *rand.Rand) int {
-	best := -1
-	for i := range candidates {
-		if !free(&candidates[i], now) {
-			continue
-		}
-		if best < 0 || candidates[i].Load/candidates[i].Slots < candidates[best].Load/candidates[best].Slots {
-			best = i
-		}
-	}
-	return best
+func (Random) Pick(_ uint64, candidates []Candidate, random *rand.Rand) int {
+	return firstFree(candidates, random.IntN(len(candidates)))
+}
+
+// Pick implements Picker.
+func (r *RoundRobin) Pick(_ uint64, candidates []Candidate, _ *rand.Rand) int {
+	r.next++
+	return firstFree(candidates, r.next%len(candidates))
 }
 
 // Pick implements Picker.
-func (PowerOfTwo) Pick(_ uint64, candidates []Candidate, now time.Time, random *rand.Rand) int {
-	a := firstFree(candidates, random.IntN(len(candidates)), now)
-	b := firstFree(candidates, random.IntN(len(candidates)), now)
-	if a < 0 || b < 0 {
+func (LeastOutstanding) Pick(_ uint64, candidates []Candidate, _ *rand.Rand) int {
+	return leastLoaded(candidates)
+}
+
+// Pick implements Picker.
+func (PowerOfTwo) Pick(_ uint64, candidates []Candidate, random *rand.Rand) int {
+	a := firstFree(candidates, random.IntN(len(candidates)))
+	b := firstFree(candidates, random.IntN(len(candidates)))
+	if a < 0 || b < 0 || used(&candidates[a]) <= used(&candidates[b]) {
 		return a
 	}
-	if candidates[b].Load/candidates[b].Slots < candidates[a].Load/candidates[a].Slots {
-		return b
-	}
-	return a
+	return b
 }
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -35,36 +35,42 @@
 type Candidate struct {
 	// Hash identifies the group for ranking; see Hash.
 	Hash uint64
-	// Slots is how many requests the group runs at a time.
-	Slots float64
+	// Capacity is how many requests the group should have now; see Capacity.
+	Capacity float64
 	// Load is the estimated number of requests at the group.
 	Load float64
+	// Excluded is set for groups that this request has tried.
+	Excluded bool
+}
+
+// State is what a group's capacity depends on.
+type State struct {
+	// Slots is how many requests the group runs at a time.
+	Slots int
 	// Slowness is the group's recent time per token over the median; 1 is
 	// normal.
 	Slowness float64
 	// ReadyAt is when the group became ready.
 	ReadyAt time.Time
-	// Excluded is set for groups that this request has tried.
-	Excluded bool
 }
 
-// capacity is how many requests the group should have now: its slots, less
-// while it ramps up and while it is slow.
-func (c *Candidate) capacity(now time.Time) float64 {
-	slots := c.Slots
-	if age := now.Sub(c.ReadyAt); age < rampSpan {
+// Capacity returns how many requests a group should have now: its slots, less
+// while it ramps up and while it is slow. A group with slots gets at least one.
+func Capacity(s State, now time.Time) float64 {
+	slots := float64(s.Slots)
+	if age := now.Sub(s.ReadyAt); age < rampSpan {
 		grown := rampStart + (1-rampStart)*max(float64(age), 0)/float64(rampSpan)
 		slots = max(1, slots*grown)
 	}
-	if c.Slowness > 1 {
-		slots = max(1, slots/c.Slowness)
+	if s.Slowness > 1 {
+		slots = max(1, slots/s.Slowness)
 	}
 	return slots
 }
 
 // Picker chooses among candidates; it returns -1 when none has a free slot.
 type Picker interface {
-	Pick(key uint64, candidates []Candidate, now time.Time, random *rand.Rand) int
+	Pick(key uint64, candidates []Candidate, random *rand.Rand) int
 }
 
 // Affinity ranks groups by rendezvous hashing and takes the first whose load
@@ -72,42 +78,55 @@
 type Affinity struct{}
 
 // Pick implements Picker.
-func (Affinity) Pick(key uint64, candidates []Candidate, now time.Time, _ *rand.Rand) int {
+func (Affinity) Pick(key uint64, candidates []Candidate, _ *rand.Rand) int {
 	var load, capacity float64
 	for i := range candidates {
 		c := &candidates[i]
 		if !c.Excluded {
 			load += c.Load
-			capacity += c.capacity(now)
+			capacity += c.Capacity
 		}
 	}
 	if capacity == 0 {
 		return -1
 	}
-	mean := load / capacity * boundFactor
-	best, least := -1, -1
+	bound := load / capacity * boundFactor
+	best := -1
 	var bestScore uint64
-	leastLoad := 1.0
 	for i := range candidates {
 		c := &candidates[i]
-		if c.Excluded {
-			continue
+		score := rank(key, c.Hash)
+		// Zeroing the score instead of skipping keeps the loop free of jumps
+		// that the processor cannot foresee.
+		if c.Load+1 > c.Capacity {
+			score = 0
 		}
-		size := c.capacity(now)
-		if used := c.Load / size; c.Load+1 <= size && used < leastLoad {
-			least, leastLoad = i, used
-		}
-		if c.Load+1 > min(size, mean*size+boundSlack) {
-			continue
+		if c.Load+1 > bound*c.Capacity+boundSlack {
+			score = 0
 		}
-		if score := mix(key ^ c.Hash); best < 0 || score > bestScore {
+		if score > bestScore && !c.Excluded {
 			best, bestScore = i, score
 		}
 	}
 	if best >= 0 {
 		return best
 	}
-	return least
+	return leastLoaded(candidates)
+}
+
+// leastLoaded returns the group with the least part of its capacity in use.
+func leastLoaded(candidates []Candidate) int {
+	best, bestUsed := -1, 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		if c.Excluded || c.Load+1 > c.Capacity {
+			continue
+		}
+		if used := c.Load / c.Capacity; best < 0 || used < bestUsed {
+			best, bestUsed = i, used
+		}
+	}
+	return best
 }
 
 // Hash returns the identity of a group's name for ranking.
@@ -119,6 +138,12 @@
 	return mix(h)
 }
 
+// rank orders a group among all for a key. Both are well mixed already.
+func rank(key, group uint64) uint64 {
+	x := (key ^ group) * 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
+
 // mix spreads the bits of x; it is a bijection.
 func mix(x uint64) uint64 {
 	x ^= x >> 32
