--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -86,7 +86,9 @@
 	if err != nil {
 		return &tryError{reach: reachNone, err: err}
 	}
-	s.config.Metrics.Observe(metric.SpanHop, o.call.class, time.Since(o.call.begin))
+	if !isFresh {
+		s.config.Metrics.Observe(metric.SpanHop, o.call.class, time.Since(o.call.begin)-o.call.queued)
+	}
 	var t wire
 	resp, failed := s.send(ctx, req, isFresh, &t)
 	if failed != nil {
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -140,8 +140,10 @@
 	class         metric.Class
 	begin         time.Time
 	deadline      time.Time
-	body          []byte
-	id            string
+	// queued is how long the request waited for its start.
+	queued time.Duration
+	body   []byte
+	id     string
 }
 
 type handler func(w http.ResponseWriter, r *http.Request, c *call)
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -203,7 +203,8 @@
 func (s *Server) acquire(r *http.Request, c *call, a Ask) (*Grant, *ring.Failure) {
 	begin := time.Now()
 	grant, failure := s.scheduler.Acquire(r.Context(), a)
-	s.config.Metrics.Observe(metric.SpanQueue, c.class, time.Since(begin))
+	c.queued = time.Since(begin)
+	s.config.Metrics.Observe(metric.SpanQueue, c.class, c.queued)
 	s.config.Metrics.Count("requests", 1, "workspace", string(c.class.Workspace), "class", string(c.class.Priority))
 	if failure == nil && a.Target != nil {
 		s.reserve(r.Context(), grant)
