scripts: hurt real processes

Cause: kill -9 and SIGSTOP had been tried in virtual time only. What: make hurt stops a member under streams, stops the controller while a member dies, kills a node with a sign-off in flight, and takes the key-value service down or its answers away.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := . ./cmd/backend ./cmd/bench ./cmd/eelgrass ./cmd/eelgrassd ./cmd/platform ./examples/client ./examples/cooperative ./examples/ferrando
 PACKAGES := $(addsuffix /...,$(MODULES))
 
-.PHONY: build demo test up down bench lint
+.PHONY: build demo hurt test up down bench lint
 
 build:
 	mkdir -p bin
@@ -10,6 +10,9 @@
 demo: build
 	scripts/demo.sh
 
+hurt: build
+	scripts/hurt.sh
+
 up: build
 	scripts/up.sh
 
--- a/internal/fake/system.go
+++ b/internal/fake/system.go
@@ -273,8 +273,17 @@
 // the guards of transactions.
 func (s *System) IgnoreGuards() { s.blind = true }
 
-// KillNode ends a node at once: its calls are cut off.
+// KillNode ends a node at once, as kill -9 does: its calls are cut off and its
+// leases stay until they expire.
 func (s *System) KillNode(name string) {
+	if m := s.Node(name); m != nil {
+		m.Store.Set(platform.FaultDown)
+		s.stopNode(name)
+	}
+}
+
+// stopNode ends a node's loops; they give up its leases if they can.
+func (s *System) stopNode(name string) {
 	s.mu.Lock()
 	m, ok := s.nodes[name]
 	delete(s.nodes, name)
@@ -293,7 +302,7 @@
 	time.Sleep(lag)
 	m.calls.Wait()
 	m.Gateway.Settled(context.Background())
-	s.KillNode(name)
+	s.stopNode(name)
 }
 
 // FreezeNode holds all that a node sends to the store and to backend servers,
