--- a/catalogue_test.go
+++ b/catalogue_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -56,3 +59,39 @@
 	fmt.Println(info.Name, info.Status, info.Ran)
 	// Output: claim_unavailable 503 no
 }
+
+// testNames returns the names of all tests in the repository.
+func testNames(t *testing.T) map[string]bool {
+	t.Helper()
+	out := map[string]bool{}
+	pattern := regexp.MustCompile(`(?m)^func (Test\w+)\(`)
+	err := filepath.WalkDir(".", func(path string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		for _, m := range pattern.FindAllStringSubmatch(string(text), -1) {
+			out[m[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func TestPagesNameTestsThatExist(t *testing.T) {
+	names := testNames(t)
+	for _, page := range []string{"docs/PROOFS.md", "docs/DESIGN.md", "docs/ROUTING.md", "KNOWN-RED.txt"} {
+		text, err := os.ReadFile(page)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, name := range regexp.MustCompile(`\bTest[A-Z]\w+`).FindAllString(string(text), -1) {
+			if !names[name] {
+				t.Errorf("%s names %s, which does not exist", page, name)
+			}
+		}
+	}
+}
