reservation: three asks, then the first busy group

Now: a home says busy or full; one may wait; at most three asks; then the first group that was only busy.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -62,6 +62,17 @@
 	is.True(ratio <= waitBound)
 }
 
+// The draw of seed 25 makes the same prefixes collide more often.
+func TestMeanWaitCooperativeSeed25(t *testing.T) {
+	is := is.New(t)
+	s, err := ByName("cooperative")
+	is.NoErr(err)
+	s.Seed = 25
+	ratio := Run(s, PolicyAffinity).Mean / Run(s, PolicyOracle).Mean
+	t.Logf("mean wait is %.3f times the oracle's", ratio)
+	is.True(ratio <= waitBound)
+}
+
 func TestFloodLeavesTheOthersAlone(t *testing.T) {
 	is := is.New(t)
 	flood, calm := run(t, "flood", PolicyAffinity), run(t, "calm", PolicyAffinity)
--- a/internal/experiment/sim.go
+++ b/internal/experiment/sim.go
@@ -127,6 +127,8 @@
 	result     *collector
 	candidates []routing.Candidate
 	indices    []int
+	// chosen is the index of the last choice among the candidates.
+	chosen int
 }
 
 // Run runs a shape under a policy and returns the figures.
@@ -319,41 +321,54 @@
 	if len(s.candidates) == 0 {
 		return -1
 	}
-	for ask := 0; ; ask++ {
-		at := r.node.picker.Pick(mixPrefix(r.prefix), s.candidates, s.random)
-		if at < 0 {
-			return -1
-		}
-		i := s.indices[at]
-		if s.policy != PolicyAffinity {
-			return i
-		}
-		if ask == reservation.Asks {
-			s.book.Take(groupName(i), r.node.name())
-			return i
+	if s.policy != PolicyAffinity {
+		return s.choose(r)
+	}
+	return s.reserve(r)
+}
+
+// choose asks the policy and returns a group's index, or -1.
+func (s *Sim) choose(r *request) int {
+	s.chosen = r.node.picker.Pick(mixPrefix(r.prefix), s.candidates, s.random)
+	if s.chosen < 0 {
+		return -1
+	}
+	return s.indices[s.chosen]
+}
+
+// reserve asks the homes of the chosen groups, as the gateway does: after the
+// last refusal the first group that was only busy is taken, for it likely has
+// the prefix.
+func (s *Sim) reserve(r *request) int {
+	busy := -1
+	for range reservation.Asks {
+		i := s.choose(r)
+		if i < 0 {
+			return s.take(busy, r)
 		}
 		s.result.asks++
-		if s.book.Ask(groupName(i), r.node.name(), s.shape.Slots) {
-			return i
-		}
-		if s.isLast() {
-			s.book.Take(groupName(i), r.node.name())
+		switch s.book.Ask(groupName(i), r.node.name(), s.shape.Slots) {
+		case reservation.AnswerGranted:
 			return i
+		case reservation.AnswerBusy:
+			if busy < 0 {
+				busy = i
+			}
 		}
-		s.candidates[at].Excluded = true
+		s.candidates[s.chosen].Excluded = true
 	}
+	if busy < 0 {
+		busy = s.choose(r)
+	}
+	return s.take(busy, r)
 }
 
-// isLast reports whether no other candidate is left to ask for.
-func (s *Sim) isLast() bool {
-	open := 0
-	for i := range s.candidates {
-		c := &s.candidates[i]
-		if !c.Excluded && c.Load+1 <= c.Capacity {
-			open++
-		}
+// take counts a request that goes to a group without a grant.
+func (s *Sim) take(i int, r *request) int {
+	if i >= 0 {
+		s.book.Take(groupName(i), r.node.name())
 	}
-	return open <= 1
+	return i
 }
 
 func groupName(i int) ring.Group { return ring.Group(fmt.Sprintf("group-%d", i)) }
--- a/internal/fake/system.go
+++ b/internal/fake/system.go
@@ -21,6 +21,7 @@
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/node"
 	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/reservation"
 	standin "eelgrassring.dev/internal/standin/engine"
 	"eelgrassring.dev/internal/standin/platform"
 	"eelgrassring.dev/internal/standin/service"
@@ -406,10 +407,10 @@
 }
 
 // Reserve implements node.PeerClient.
-func (p *peerClient) Reserve(ctx context.Context, address string, g ring.Group, holder string) (bool, error) {
+func (p *peerClient) Reserve(ctx context.Context, address string, g ring.Group, holder string) (reservation.Answer, error) {
 	m, err := p.reach(ctx, address)
 	if err != nil {
-		return false, err
+		return reservation.AnswerNone, err
 	}
 	return m.Node.GrantPlace(g, holder), nil
 }
--- a/internal/gateway/schedule.go
+++ b/internal/gateway/schedule.go
@@ -278,13 +278,24 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	route, ok := s.pick(g.ask, passed, time.Now())
-	if !ok {
-		return false
+	if ok {
+		g.set(route)
 	}
-	s.table.End(g.route.Group)
-	s.table.Begin(route.Group)
-	g.route = route
-	return true
+	return ok
+}
+
+// moveTo changes the grant's group to a given one.
+func (g *Grant) moveTo(r node.Route) {
+	g.scheduler.mu.Lock()
+	defer g.scheduler.mu.Unlock()
+	g.set(r)
+}
+
+// set changes the group; the scheduler's lock is held.
+func (g *Grant) set(r node.Route) {
+	g.scheduler.table.End(g.route.Group)
+	g.scheduler.table.Begin(r.Group)
+	g.route = r
 }
 
 // Started tells the group's home of the first token.
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -180,22 +180,31 @@
 	w.cancel(nil)
 }
 
-// reserve asks the homes of at most two groups for a place. A home only
-// advises: after two refusals, or without an answer, the request goes by this
-// node's own estimate.
+// reserve asks the homes of a few groups for a place. A home only advises:
+// after the last refusal, or without an answer, the request goes to the first
+// group that was only busy, for it likely has the prefix, or by this node's
+// own estimate.
 func (s *Server) reserve(ctx context.Context, g *Grant) {
 	passed := map[ring.Group]bool{}
+	var busy *node.Route
 	for range reservation.Asks {
-		place := s.config.Node.Reserve(ctx, g.Route())
+		route := g.Route()
 		s.config.Metrics.Count("asks", 1)
-		if place == node.PlaceGranted {
+		answer := s.config.Node.Reserve(ctx, route)
+		if answer == reservation.AnswerGranted {
 			return
 		}
-		passed[g.Route().Group] = true
-		if place == node.PlaceUnknown || !g.move(passed) {
+		if answer == reservation.AnswerBusy && busy == nil {
+			busy = &route
+		}
+		passed[route.Group] = true
+		if answer == reservation.AnswerNone || !g.move(passed) {
 			break
 		}
 	}
+	if busy != nil {
+		g.moveTo(*busy)
+	}
 	s.config.Node.NoteTaken(g.Route().Group)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,7 +59,7 @@
 	// Configuration fetches the configuration and the records of a peer.
 	Configuration(ctx context.Context, address string, after int64) (Handover, error)
 	// Reserve asks the home of a group for a place.
-	Reserve(ctx context.Context, address string, g ring.Group, holder string) (bool, error)
+	Reserve(ctx context.Context, address string, g ring.Group, holder string) (reservation.Answer, error)
 	// Note tells a home what became of places.
 	Note(ctx context.Context, address, holder string, n Notes) error
 }
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -19,16 +19,6 @@
 	noteTimeout = 200 * time.Millisecond
 )
 
-// Place is the answer of a group's home.
-type Place int
-
-// The answers of a home. PlaceUnknown: the home did not answer.
-const (
-	PlaceGranted Place = iota
-	PlaceRefused
-	PlaceUnknown
-)
-
 // home returns the home of a group among the live nodes: its name, and its
 // address or "" when it is this node.
 func (n *Node) home(g ring.Group, now time.Time) (name, address string) {
@@ -45,30 +35,23 @@
 }
 
 // Reserve asks the home of the route's group for a place.
-func (n *Node) Reserve(ctx context.Context, r Route) Place {
+func (n *Node) Reserve(ctx context.Context, r Route) reservation.Answer {
 	_, address := n.home(r.Group, time.Now())
 	if address == "" {
-		return placeOf(n.book.Ask(r.Group, n.config.Name, r.Slots))
+		return n.book.Ask(r.Group, n.config.Name, r.Slots)
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	granted, err := n.config.Peers.Reserve(ctx, address, r.Group, n.config.Name)
+	answer, err := n.config.Peers.Reserve(ctx, address, r.Group, n.config.Name)
 	if err != nil {
-		return PlaceUnknown
-	}
-	return placeOf(granted)
-}
-
-func placeOf(granted bool) Place {
-	if granted {
-		return PlaceGranted
+		return reservation.AnswerNone
 	}
-	return PlaceRefused
+	return answer
 }
 
 // GrantPlace answers a peer that asks this node as a home. The slots are those
 // of the group's record here.
-func (n *Node) GrantPlace(g ring.Group, holder string) bool {
+func (n *Node) GrantPlace(g ring.Group, holder string) reservation.Answer {
 	state := n.table.Group(g, time.Now())
 	return n.book.Ask(g, holder, state.Record.Record.Slots)
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,7 @@
 	"eelgrassring.dev/internal/node"
 	pb "eelgrassring.dev/internal/peer/peerpb"
 	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/reservation"
 )
 
 // Client implements node.PeerClient.
@@ -89,18 +90,40 @@
 }
 
 // Reserve implements node.PeerClient.
-func (c *Client) Reserve(ctx context.Context, address string, g ring.Group, holder string) (bool, error) {
+func (c *Client) Reserve(ctx context.Context, address string, g ring.Group, holder string) (reservation.Answer, error) {
 	conn, err := c.conn(address)
 	if err != nil {
-		return false, err
+		return reservation.AnswerNone, err
 	}
 	r, err := pb.NewPeerClient(conn).Reserve(ctx, &pb.ReserveRequest{Group: string(g), Holder: holder})
 	if err != nil {
 		// The span is short, and a heartbeat finds out whether the connection
 		// is silent; it is kept.
-		return false, fmt.Errorf("reserve at %s: %w", address, err)
+		return reservation.AnswerNone, fmt.Errorf("reserve at %s: %w", address, err)
+	}
+	return answerOf(r.Answer), nil
+}
+
+func answerOf(a pb.ReserveResponse_Answer) reservation.Answer {
+	switch a {
+	case pb.ReserveResponse_GRANTED:
+		return reservation.AnswerGranted
+	case pb.ReserveResponse_BUSY:
+		return reservation.AnswerBusy
+	default:
+		return reservation.AnswerFull
+	}
+}
+
+func answerMessage(a reservation.Answer) pb.ReserveResponse_Answer {
+	switch a {
+	case reservation.AnswerGranted:
+		return pb.ReserveResponse_GRANTED
+	case reservation.AnswerBusy:
+		return pb.ReserveResponse_BUSY
+	default:
+		return pb.ReserveResponse_FULL
 	}
-	return r.Granted, nil
 }
 
 // Note implements node.PeerClient.
@@ -208,7 +231,7 @@
 
 // Reserve answers a peer that asks this node as the home of a group.
 func (s *Server) Reserve(_ context.Context, r *pb.ReserveRequest) (*pb.ReserveResponse, error) {
-	return &pb.ReserveResponse{Granted: s.node.GrantPlace(ring.Group(r.Group), r.Holder)}, nil
+	return &pb.ReserveResponse{Answer: answerMessage(s.node.GrantPlace(ring.Group(r.Group), r.Holder))}, nil
 }
 
 // Note takes a peer's news as a home.
--- a/internal/peer/slopes_test.go
+++ b/internal/peer/slopes_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -62,8 +63,8 @@
 	server := httptest.NewServer(standin.New(standin.Config{VM: "vm"}).Handler())
 	defer server.Close()
 	counted := &countingConn{}
-	transport := &http.Transport{Dial: func(network, address string) (net.Conn, error) {
-		conn, err := net.Dial(network, address)
+	transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 		counted.Conn = conn
 		return counted, err
 	}}
--- a/internal/reservation/book.go
+++ b/internal/reservation/book.go
@@ -27,11 +27,11 @@
 
 // maxPending is how many requests may wait for their first token at a group
 // before others are passed on.
-const maxPending = 2
+const maxPending = 1
 
 // Asks is how many homes a node asks for one request before it goes by its
 // own estimate.
-const Asks = 2
+const Asks = 3
 
 type count struct {
 	running int
@@ -56,17 +56,33 @@
 	return &Book{places: map[place]count{}, groups: map[ring.Group]count{}}
 }
 
-// Ask takes a place for the holder if the group has a free slot and an idle
-// prefill.
-func (b *Book) Ask(g ring.Group, holder string, slots int) bool {
+// Answer is what a home says to an ask.
+type Answer int
+
+// The answers. AnswerGranted: the place is taken for the holder. AnswerBusy:
+// there is a slot, but others wait for their first token. AnswerFull: there is
+// no slot. AnswerNone: the home did not answer.
+const (
+	AnswerGranted Answer = iota
+	AnswerBusy
+	AnswerFull
+	AnswerNone
+)
+
+// Ask takes a place for the holder if the group has a free slot and few
+// requests wait for their first token.
+func (b *Book) Ask(g ring.Group, holder string, slots int) Answer {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.groups[g]
-	if c.running >= slots || c.pending >= maxPending {
-		return false
+	switch {
+	case c.running >= slots:
+		return AnswerFull
+	case c.pending >= maxPending:
+		return AnswerBusy
 	}
 	b.add(g, holder, 1, 1)
-	return true
+	return AnswerGranted
 }
 
 // Take counts a request that was sent without asking.
--- a/internal/reservation/book_test.go
+++ b/internal/reservation/book_test.go
@@ -12,28 +12,26 @@
 func TestBookGrantsNoMoreThanTheSlots(t *testing.T) {
 	is := is.New(t)
 	b := NewBook()
-	is.True(b.Ask("g", "n1", 3))
-	is.True(b.Ask("g", "n2", 3))
-	is.True(!b.Ask("g", "n3", 3)) // two wait for their first token
+	is.Equal(b.Ask("g", "n1", 2), AnswerGranted)
+	is.Equal(b.Ask("g", "n2", 2), AnswerBusy) // n1 waits for its first token
 	b.Started("g", "n1")
-	is.True(b.Ask("g", "n3", 3))
+	is.Equal(b.Ask("g", "n2", 2), AnswerGranted)
 	b.Started("g", "n2")
-	b.Started("g", "n3")
-	is.True(!b.Ask("g", "n4", 3)) // full
+	is.Equal(b.Ask("g", "n3", 2), AnswerFull)
 	b.Released("g", "n1")
-	is.True(b.Ask("g", "n4", 3))
+	is.Equal(b.Ask("g", "n3", 2), AnswerGranted)
 }
 
 func TestHeartbeatCorrectsLostMessages(t *testing.T) {
 	is := is.New(t)
 	b := NewBook()
-	is.True(b.Ask("g", "n1", 1))
+	is.Equal(b.Ask("g", "n1", 1), AnswerGranted)
 	b.Released("g", "other") // a message that belongs to nothing
-	is.True(!b.Ask("g", "n2", 1))
+	is.Equal(b.Ask("g", "n2", 1), AnswerFull)
 	b.Correct("n1", map[ring.Group]int{}) // n1 has nothing there any more
-	is.True(b.Ask("g", "n2", 1))
+	is.Equal(b.Ask("g", "n2", 1), AnswerGranted)
 	b.Drop("n2")
-	is.True(b.Ask("g", "n1", 1))
+	is.Equal(b.Ask("g", "n1", 1), AnswerGranted)
 }
 
 func TestHomeMovesOnlyForGroupsOfTheLostNode(t *testing.T) {
