placement: downtime split into parts; claim batches tested

Cause: the totals told that a group was down, not where the time went; the rate of claims had no test; Order.Unload was never sent and is gone. Measured: a burst of 3,000 claims is answered within a second of virtual time with at most 31 calls; a settlement passes 50 waiting claims.

--- a/backend.go
+++ b/backend.go
@@ -54,7 +54,8 @@
 	Leaving     bool         `json:"leaving,omitempty"`
 }
 
-// Order tells a backend server to load its part of a replica, or to unload.
+// Order tells a backend server to load its part of a replica. Whatever it held
+// before is given up.
 type Order struct {
 	Epoch   Epoch    `json:"epoch"`
 	Group   Group    `json:"group,omitempty"`
@@ -62,7 +63,6 @@
 	Members []string `json:"members,omitempty"`
 	Spec    Spec     `json:"spec"`
 	Slots   int      `json:"slots,omitempty"`
-	Unload  bool     `json:"unload,omitempty"`
 }
 
 // BackendControl is the control side of the backend servers. Address is the
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -186,6 +186,12 @@
 	s.config.Metrics.Gauge("accelerators_stranded", float64(t.Now.Stranded))
 	s.config.Metrics.Gauge("group_downtime_seconds", t.Down.Seconds())
 	s.config.Metrics.Gauge("accelerator_stranded_seconds", t.Stranded.Seconds())
+	s.config.Metrics.Gauge("recoveries", float64(t.Recoveries))
+	for part, d := range map[string]time.Duration{
+		"detect": t.Parts.Detect, "decide": t.Parts.Decide, "order": t.Parts.Order, "load": t.Parts.Load, "ready": t.Parts.Ready,
+	} {
+		s.config.Metrics.Gauge("recovery_seconds", d.Seconds(), "part", part)
+	}
 	_, number := s.config.Node.Table().Configuration()
 	s.config.Metrics.Gauge("configuration_number", float64(number))
 	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
--- /dev/null
+++ b/internal/claim/batch_test.go
@@ -0,0 +1,140 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/standin/platform"
+)
+
+// countingStore counts the calls of a keyspace and takes a while for each.
+type countingStore struct {
+	*platform.Keyspace
+	calls int
+	txns  int
+}
+
+func (s *countingStore) CommitEach(ctx context.Context, txns []ring.Txn) ([]ring.TxnResult, error) {
+	s.calls++
+	s.txns += len(txns)
+	time.Sleep(3 * time.Millisecond)
+	return s.Keyspace.CommitEach(ctx, txns)
+}
+
+// burst claims n keys at one moment and returns how many were claimed and how
+// many were refused because the share was used up.
+func burst(l *Ledger, n int) (claimed, refused int) {
+	type outcome struct {
+		held    *Held
+		failure *ring.Failure
+	}
+	results := make(chan outcome, n)
+	for i := range n {
+		go func() {
+			id := Identity{Workspace: "w", Key: fmt.Sprint("key-", i)}
+			held, _, _, failure := l.Claim(context.Background(), id, "f", time.Now().Add(time.Minute))
+			results <- outcome{held, failure}
+		}()
+	}
+	for range n {
+		r := <-results
+		switch {
+		case r.held != nil:
+			claimed++
+		case r.failure.Code == ring.CodeClaimRate:
+			refused++
+		}
+	}
+	return claimed, refused
+}
+
+// A burst above the share is answered at once: what fits is claimed in full
+// calls, the rest is refused as not run, within the stated wait.
+func TestClaimsAboveTheShareAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &countingStore{Keyspace: platform.NewKeyspace()}
+		l := NewLedger(Config{Store: store, Node: "n1", Batch: DefaultBatchConfig()})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go l.Run(ctx)
+		begin := time.Now()
+		claimed, refused := burst(l, 3000)
+		is.Equal(claimed+refused, 3000) // every caller has its answer
+		is.True(refused > 0)
+		is.True(claimed >= 20*32) // half a second of 40 calls a second, full
+		is.True(time.Since(begin) < time.Second)
+		is.True(store.calls <= 31) // the burst of the limiter and half a second
+		is.Equal(store.txns, claimed)
+	})
+}
+
+func TestSettlementsGoBeforeNewClaims(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &countingStore{Keyspace: platform.NewKeyspace()}
+		config := DefaultBatchConfig()
+		config.Rate, config.Size = 2, 1 // two calls a second, one write each
+		l := NewLedger(Config{Store: store, Node: "n1", Batch: config})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go l.Run(ctx)
+		held, _, _, failure := l.Claim(ctx, Identity{"w", "first"}, "f", time.Now().Add(time.Minute))
+		is.True(failure == nil)
+		go burst(l, 50)
+		time.Sleep(100 * time.Millisecond)
+		begin := time.Now()
+		is.NoErr(held.Done(ctx, Answer{Status: 201}))
+		is.True(time.Since(begin) < 1500*time.Millisecond) // it passed 50 waiting claims
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestJudge(t *testing.T) {
+	now := time.Unix(100, 0)
+	tests := []struct {
+		name   string
+		stored Record
+		want   Verdict
+	}{
+		{"own claim", Record{Writer: "me", Fingerprint: "f", State: StateClaimed, RunUntil: now.Add(1)}, VerdictRun},
+		{"another's, in time", Record{Writer: "you", Fingerprint: "f", State: StateClaimed, RunUntil: now.Add(1)}, VerdictInProgress},
+		{"another's, past its time", Record{Writer: "you", Fingerprint: "f", State: StateClaimed, RunUntil: now}, VerdictUnknown},
+		{"done", Record{Fingerprint: "f", State: StateDone, Answer: &Answer{Kept: true}}, VerdictReplay},
+		{"done, answer too large", Record{Fingerprint: "f", State: StateDone, Answer: &Answer{}}, VerdictNotKept},
+		{"unknown", Record{Writer: "me", Fingerprint: "f", State: StateUnknown}, VerdictUnknown},
+		{"another request", Record{Writer: "me", Fingerprint: "g", State: StateClaimed}, VerdictReused},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(Judge(test.stored, "me", "f", now), test.want)
+		})
+	}
+}
+
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		keys := platform.NewKeyspace()
+		l := NewLedger(Config{Store: keys, Node: "n1", Batch: DefaultBatchConfig()})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go l.Run(ctx)
+		id := Identity{"w", "k"}
+		held, _, _, _ := l.Claim(ctx, id, "f", time.Now().Add(time.Minute))
+		is.NoErr(held.Done(ctx, Answer{Status: 201, Body: make([]byte, MaxBody+1)}))
+		_, verdict, stored, _ := l.Claim(ctx, id, "f", time.Now().Add(time.Minute))
+		is.Equal(verdict, VerdictNotKept)
+		is.Equal(stored.Answer.Status, 201)
+		entry, _, err := keys.Get(ctx, id.StoreKey())
+		is.NoErr(err)
+		is.True(len(entry.Value) < 1000)
+	})
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -41,6 +41,7 @@
 	OrderFenced        = Kind{405, "order refused as old", slog.LevelWarn}
 	VMLeaving          = Kind{406, "VM leaving", slog.LevelInfo}
 	MeasureChanged     = Kind{407, "capacity changed", slog.LevelInfo}
+	GroupRecovered     = Kind{408, "group recovered", slog.LevelInfo}
 	RequestFailed      = Kind{501, "request failed", slog.LevelWarn}
 	TryFailed          = Kind{502, "try failed", slog.LevelInfo}
 	ClaimUnsettled     = Kind{503, "claim not settled", slog.LevelError}
@@ -54,7 +55,7 @@
 		Started, Draining, Stopped,
 		StoreLost, StoreBack, ConfigurationInUse, ConfigurationBad, WatchEnded, ConfigurationOld,
 		PeerFound, PeerLost, ControlWon, ControlLost, LeaseLost,
-		GroupCommitted, GroupRefused, OrderSent, OrderFailed, OrderFenced, VMLeaving, MeasureChanged,
+		GroupCommitted, GroupRefused, OrderSent, OrderFailed, OrderFenced, VMLeaving, MeasureChanged, GroupRecovered,
 		RequestFailed, TryFailed, ClaimUnsettled, StreamReplayed, AnswerMismatch,
 	}
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -182,6 +182,10 @@
 			go g.send(ctx, a, g.term.until)
 		case placement.Reload:
 			g.reload(ctx)
+		case placement.Recovered:
+			g.node.measures.recovered(a)
+			g.node.log.Write(event.GroupRecovered, slog.String("group", string(a.Group)), slog.Duration("detect", a.Detect),
+				slog.Duration("decide", a.Decide), slog.Duration("order", a.Order), slog.Duration("load", a.Load), slog.Duration("ready", a.Ready))
 		}
 	}
 }
--- a/internal/node/measures.go
+++ b/internal/node/measures.go
@@ -17,6 +17,9 @@
 	Stranded time.Duration
 	// Now is the last measure.
 	Now placement.Measure
+	// Recoveries counts recoveries, and Parts sums their parts.
+	Recoveries int
+	Parts      placement.Recovered
 }
 
 // Measures integrates the objectives while the node is the controller.
@@ -50,3 +53,16 @@
 	defer m.mu.Unlock()
 	return m.totals
 }
+
+// recovered adds the parts of one recovery.
+func (m *Measures) recovered(r placement.Recovered) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.totals.Recoveries++
+	p := &m.totals.Parts
+	p.Detect += r.Detect
+	p.Decide += r.Decide
+	p.Order += r.Order
+	p.Load += r.Load
+	p.Ready += r.Ready
+}
--- a/internal/placement/controller.go
+++ b/internal/placement/controller.go
@@ -55,6 +55,8 @@
 	drainFrom time.Time
 	// brokenFrom is when the group was first seen without enough VMs.
 	brokenFrom time.Time
+	// trail follows the recovery that is under way.
+	trail trail
 }
 
 // Controller is the decision core. The zero value is not usable; call New.
@@ -113,7 +115,7 @@
 	for _, r := range e.Records {
 		g := &groupState{record: r.Record, modified: r.Modified}
 		if before, ok := old[r.Record.Group]; ok {
-			g.drainFrom, g.brokenFrom = before.drainFrom, before.brokenFrom
+			g.drainFrom, g.brokenFrom, g.trail = before.drainFrom, before.brokenFrom, before.trail
 		}
 		c.groups[r.Record.Group] = g
 		c.maxEpoch = max(c.maxEpoch, r.Record.Epoch)
@@ -169,7 +171,21 @@
 	}
 	g.record = e.Commit.Record
 	g.modified = e.Revision
-	return c.decide(now)
+	out := c.follow(g, now)
+	return append(out, c.decide(now)...)
+}
+
+// follow notes the part of a recovery that a stored record ends.
+func (c *Controller) follow(g *groupState, now time.Time) []Action {
+	switch g.record.Phase {
+	case PhaseForming:
+		g.trail.decided = now
+	case PhaseReady:
+		if r, ok := g.trail.done(g.record.Group, now); ok {
+			return []Action{r}
+		}
+	}
+	return nil
 }
 
 func (c *Controller) reload() []Action {
@@ -245,8 +261,13 @@
 		return c.form(d, g, now)
 	}
 	if !c.isConfirmed(g.record) {
-		return c.order(g.record, now)
+		out := c.order(g.record, now)
+		if len(out) > 0 {
+			g.trail.ordered = now
+		}
+		return out
 	}
+	g.trail.loaded = now
 	next := g.record
 	next.Phase = PhaseReady
 	next.ReadyAt = now
@@ -255,6 +276,7 @@
 
 func (c *Controller) decideReady(d deployment.Group, g *groupState, now time.Time) []Action {
 	if !c.isWhole(g.record, now) {
+		g.trail.lose(c.lostAt(g.record, now), now)
 		return c.form(d, g, now)
 	}
 	if c.isConfirmed(g.record) {
--- a/internal/placement/controller_test.go
+++ b/internal/placement/controller_test.go
@@ -24,6 +24,8 @@
 	// deaf is a VM that takes no orders.
 	deaf   ring.VM
 	orders map[ring.VM]int
+
+	recovered []Recovered
 }
 
 func newBench(t *testing.T, d deployment.Document) *bench {
@@ -65,6 +67,8 @@
 				b.records[a.Record.Group] = a.Record
 			}
 			b.perform(b.core.Step(CommitDone{Commit: a, Accepted: true, Revision: b.revision}, b.now))
+		case Recovered:
+			b.recovered = append(b.recovered, a)
 		case Send:
 			b.orders[a.VM]++
 			if b.alive[a.VM] && b.deaf != a.VM {
@@ -178,3 +182,18 @@
 	is.Equal(c.Step(Configured{Configuration: configuration}, time.Unix(1, 0)), nil)
 	is.Equal(c.Step(Tick{}, time.Unix(2, 0)), nil)
 }
+
+func TestRecoveryIsSplitIntoParts(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, declared(deployment.Objective{Downtime: 1}, 4, 3))
+	b.run(2 * time.Second)
+	is.Equal(b.recovered, nil) // forming for the first time is no recovery
+	b.alive[b.records["g0"].Members[1].VM] = false
+	b.run(3 * time.Second)
+	is.Equal(len(b.recovered), 1)
+	r := b.recovered[0]
+	is.Equal(r.Group, ring.Group("g0"))
+	is.True(r.Detect > time.Second && r.Detect <= 1500*time.Millisecond)
+	is.True(r.Load > 0)
+	is.True(r.Total() <= 3*time.Second)
+}
--- a/internal/proof/system_test.go
+++ b/internal/proof/system_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -110,3 +111,25 @@
 		test(is.New(t), s)
 	})
 }
+
+func TestWholeAndStreamedAnswersOfBothKinds(t *testing.T) {
+	inBubble(t, options(document(1, 2, 1, 3), 1), func(is *is.I, s *fake.System) {
+		call := func(path, body string) fake.Result {
+			return s.Do(fake.Call{Node: "n1", Key: keyA, Method: "POST", Path: path, Body: body})
+		}
+		chat := call("/v1/chat/completions", `{"model":"m","seed":7,"max_tokens":3,"messages":[{"role":"user","content":"x"}]}`)
+		is.Equal(chat.Status, 200)
+		is.True(strings.Contains(chat.Body, `"content":"`+fake.Expected("x", 3)+`"`))
+		whole := call("/v1/completions", `{"model":"m@1","seed":7,"max_tokens":3,"prompt":"x"}`)
+		is.Equal(whole.Status, 200)
+		is.True(strings.Contains(whole.Body, `"text":"`))
+		stream := call("/v1/completions", `{"model":"m","seed":7,"max_tokens":3,"prompt":"x","stream":true,"stream_options":{"include_usage":true}}`)
+		_, isWhole := stream.Text()
+		is.True(isWhole)
+		is.True(strings.Contains(stream.Body, `"completion_tokens":3`))
+		models := s.Do(fake.Call{Node: "n1", Key: keyA, Method: "GET", Path: "/v1/models"})
+		is.True(strings.Contains(models.Body, `"id":"m"`))
+		echo := s.Do(fake.Call{Node: "n1", Key: keyA, Method: "PUT", Path: "/services/records/echo", Body: "any body"})
+		is.Equal(echo.Body, "any body")
+	})
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -203,10 +203,6 @@
 	s.status.Spec = order.Spec
 	s.rank, s.members, s.slots = order.Rank, order.Members, order.Slots
 	s.broken = false
-	if order.Unload {
-		s.status.Phase = ring.BackendEmpty
-		return
-	}
 	s.status.Phase = ring.BackendLoading
 	s.loads++
 	span := s.config.LoadTime
