scripts: cut links between real processes

Cause: a link that falls silent without closing was tried in virtual time only. What: cmd/relay holds all bytes of open and new connections on demand; make hurt cuts it before the heads of both groups under 8 streams.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := . ./cmd/backend ./cmd/bench ./cmd/eelgrass ./cmd/eelgrassd ./cmd/platform ./examples/client ./examples/cooperative ./examples/ferrando
+MODULES := . ./cmd/backend ./cmd/bench ./cmd/eelgrass ./cmd/eelgrassd ./cmd/platform ./cmd/relay ./examples/client ./examples/cooperative ./examples/ferrando
 PACKAGES := $(addsuffix /...,$(MODULES))
 
 .PHONY: build demo hurt test up down bench lint
--- a/scripts/hurt.sh
+++ b/scripts/hurt.sh
@@ -48,6 +48,7 @@
 }
 fault() { curl -s -X POST "http://$lists/fault/$1"; }
 
+relayed="1 7"
 up >/dev/null || fail "the groups did not form"
 sleep 6 # New groups have reached their full slots.
 
@@ -60,6 +61,17 @@
 stop "$victim" CONT
 wait_serving 1 2 || fail "the groups are not whole again"
 
+step "cut the links to the heads of both groups under 8 streams: open connections fall silent"
+streams 8 1
+sleep 0.7
+curl -s -X POST http://127.0.0.1:9401/cut
+sleep 0.3
+curl -s -X POST http://127.0.0.1:9407/cut
+whole_streams 8
+curl -s -X POST http://127.0.0.1:9401/heal
+curl -s -X POST http://127.0.0.1:9407/heal
+wait_serving 1 2 || fail "the groups are not whole again"
+
 step "SIGSTOP the controller and kill -9 a member; wake the controller later"
 old=$(controller)
 other=$((old % 3 + 1))
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -29,10 +29,19 @@
 	return 1
 }
 
+# start_backend N starts the N-th backend server; those in $relayed stand
+# behind a relay that can be cut.
+relayed=""
 start_backend() {
-	local n=$1 fencing=true
+	local n=$1 fencing=true port=$((9100 + $1))
 	[ "$n" -gt 6 ] && fencing=false
-	start "$(printf 'vm-%02d' "$n")" bin/backend -vm "$(printf 'vm-%02d' "$n")" -address "127.0.0.1:$((9100 + n))" \
+	case " $relayed " in
+	*" $n "*)
+		port=$((9300 + n))
+		start "relay-$n" bin/relay -listen "127.0.0.1:$((9100 + n))" -target "127.0.0.1:$port" -control "127.0.0.1:$((9400 + n))"
+		;;
+	esac
+	start "$(printf 'vm-%02d' "$n")" bin/backend -vm "$(printf 'vm-%02d' "$n")" -address "127.0.0.1:$port" \
 		-fencing=$fencing -weights $lists
 }
 
