node: see a vacancy in the watched state instead of asking for it

Cause: every node read the controller's key twice a second, 1,160 reads a second at 580 nodes, against two thousand in all. Now: the watch and the listings tell; nodes try one after the other by hash.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -13,6 +13,7 @@
 	"eelgrassring.dev/internal/catalog"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/routing"
 )
 
 const (
@@ -23,6 +24,38 @@
 	leaseMargin = 300 * time.Millisecond
 )
 
+// campaignStep is the time between the tries of two nodes for a vacancy.
+const campaignStep = 150 * time.Millisecond
+
+// isVacant reports whether this node may try for the controller's lease: as
+// far as it knows from the state that it watches, nobody holds it.
+func (n *Node) isVacant() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.draining && n.storeUp && n.listed && !n.controlTaken
+}
+
+func (n *Node) noteController(taken bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.controlTaken = taken
+	n.listed = true
+}
+
+// turn returns how many live nodes try for the controller's lease before this
+// one. All nodes order themselves alike by hashing.
+func (n *Node) turn() int {
+	now := time.Now()
+	own := routing.Hash(catalog.ControllerKey + n.config.Name)
+	before := 0
+	for _, p := range n.table.Peers() {
+		if p.IsLive(now) && !p.Draining && routing.Hash(catalog.ControllerKey+p.Name) < own {
+			before++
+		}
+	}
+	return before
+}
+
 // term is one holding of the controller's lease.
 type term struct {
 	lease ring.Lease
@@ -57,11 +90,13 @@
 }
 
 func (n *Node) campaign(ctx context.Context) (*term, bool) {
-	if n.IsDraining() {
+	if !n.isVacant() {
 		return nil, false
 	}
-	_, taken, err := n.config.Store.Get(ctx, catalog.ControllerKey)
-	if err != nil || taken {
+	// Nodes try one after the other, so that a vacancy does not bring a write
+	// of every node at once.
+	pause(ctx, time.Duration(n.turn())*campaignStep)
+	if !n.isVacant() {
 		return nil, false
 	}
 	span := n.config.Timing.Control
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -117,6 +117,10 @@
 	demand   DemandSource
 	control  bool
 	storeUp  bool
+	// controlTaken tells whether the state last seen had a controller, and
+	// listed whether the state was seen at all.
+	controlTaken bool
+	listed       bool
 }
 
 // New returns a node; Run starts its loops.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -79,6 +79,7 @@
 	}
 	shown := map[ring.Group]bool{}
 	members := map[string]bool{}
+	controlled := false
 	for _, e := range entries {
 		n.apply(ring.Change{Entry: e})
 		if g, ok := strings.CutPrefix(e.Key, catalog.GroupPrefix); ok {
@@ -87,7 +88,9 @@
 		if name, ok := strings.CutPrefix(e.Key, catalog.NodePrefix); ok {
 			members[name] = true
 		}
+		controlled = controlled || e.Key == catalog.ControllerKey
 	}
+	n.noteController(controlled)
 	n.table.KeepRecords(shown, revision)
 	n.table.PutMembers(members)
 	return revision, nil
@@ -98,6 +101,8 @@
 	switch {
 	case key == catalog.ConfigurationKey && !c.Deleted:
 		n.applyConfiguration(c.Entry.Value)
+	case key == catalog.ControllerKey:
+		n.noteController(!c.Deleted)
 	case strings.HasPrefix(key, catalog.GroupPrefix):
 		n.applyRecord(c)
 	case strings.HasPrefix(key, catalog.NodePrefix) && !c.Deleted:
