limit: beyond its even part a node waits for an exchange

Cause: a burst that began at three nodes at once found each of them with peers that told no demand; each took the whole limit: 30 requests ran of 12 (TestWorkspaceLimitHoldsOverAllNodes, failed first).

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -56,7 +56,7 @@
 // NewControl returns a Control.
 func NewControl(c ControlConfig) *Control {
 	if c.Kept == nil {
-		c.Kept = &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}
+		c.Kept = &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, DisableCompression: true}
 	}
 	if c.Fresh == nil {
 		c.Fresh = &http.Transport{DisableKeepAlives: true}
@@ -83,6 +83,7 @@
 	if err != nil {
 		return out, fmt.Errorf("status of %s: %w", address, err)
 	}
+	req.Header.Set("User-Agent", "") // Probes are most of what a node sends; they stay small.
 	resp, err := client.Do(req)
 	if err != nil {
 		return out, fmt.Errorf("status of %s: %w", address, err)
--- a/internal/experiment/sim.go
+++ b/internal/experiment/sim.go
@@ -92,7 +92,10 @@
 	// told is what the node last told the others.
 	told       []int
 	toldDemand []limit.Demand
-	waiting    map[uint64]*request
+	toldAt     time.Duration
+	// since is when the node's demand of each workspace began.
+	since   []time.Duration
+	waiting map[uint64]*request
 }
 
 type simGroup struct {
@@ -164,6 +167,7 @@
 			budget:      retry.NewBudget(retry.DefaultConfig()),
 			outstanding: make([]int, shape.Groups), told: make([]int, shape.Groups),
 			running: make([]int, len(shape.Workspaces)), toldDemand: make([]limit.Demand, len(shape.Workspaces)),
+			since:   make([]time.Duration, len(shape.Workspaces)),
 			waiting: map[uint64]*request{},
 		})
 	}
@@ -263,6 +267,9 @@
 func (s *Sim) admit(r *request) {
 	n := r.node
 	name := s.workspaceName(r.workspace)
+	if n.running[r.workspace] == 0 && n.queue.LenOf(name) == 0 {
+		n.since[r.workspace] = s.now
+	}
 	if n.queue.LenOf(name) == 0 && s.mayRun(n, r.workspace) && s.start(r) {
 		n.queue.Started(s.clock())
 		return
@@ -278,11 +285,12 @@
 }
 
 func (s *Sim) mayRun(n *simNode, workspace int) bool {
-	v := limit.View{Limit: s.shape.Workspaces[workspace].Limit, Known: len(s.nodes)}
+	v := limit.View{Limit: s.shape.Workspaces[workspace].Limit, Known: len(s.nodes), Confirmed: true}
 	v.Own = limit.Demand{Running: n.running[workspace], Queued: n.queue.LenOf(s.workspaceName(workspace))}
 	for _, p := range s.nodes {
 		if p != n && !p.dead {
 			v.Peers = append(v.Peers, p.toldDemand[workspace])
+			v.Confirmed = v.Confirmed && p.toldAt > n.since[workspace]
 		}
 	}
 	return limit.Admits(v)
@@ -545,6 +553,7 @@
 	}
 	copy(n.told, n.outstanding)
 	s.book.Correct(n.name(), n.held())
+	n.toldAt = s.now
 	for i := range n.toldDemand {
 		n.toldDemand[i] = limit.Demand{Running: n.running[i], Queued: n.queue.LenOf(s.workspaceName(i))}
 	}
--- a/internal/gateway/schedule.go
+++ b/internal/gateway/schedule.go
@@ -70,6 +70,8 @@
 	waiters map[uint64]*waiter
 	next    uint64
 	running map[ring.Workspace]int
+	// since is when the demand of a workspace that has any began.
+	since map[ring.Workspace]time.Time
 	// The candidate slices are reused between decisions.
 	candidates []routing.Candidate
 	routes     []node.Route
@@ -85,6 +87,7 @@
 		queue:   limit.NewQueue(queueLimit),
 		waiters: map[uint64]*waiter{},
 		running: map[ring.Workspace]int{},
+		since:   map[ring.Workspace]time.Time{},
 	}
 }
 
@@ -125,6 +128,7 @@
 		s.mu.Unlock()
 		return nil, f
 	}
+	s.arrive(a.Workspace.Name, now)
 	if s.queue.LenOf(a.Workspace.Name) == 0 && s.mayRun(a.Workspace, now) {
 		if g := s.start(a, nil, now); g != nil {
 			s.queue.Started(now)
@@ -193,7 +197,14 @@
 // mayRun asks whether the workspace is within its limit; mu is held.
 func (s *Scheduler) mayRun(w deployment.Workspace, now time.Time) bool {
 	own := limit.Demand{Running: s.running[w.Name], Queued: s.queue.LenOf(w.Name)}
-	return limit.Admits(s.table.LimitView(w.Name, w.Limit, own, now))
+	return limit.Admits(s.table.LimitView(w.Name, w.Limit, own, s.since[w.Name], now))
+}
+
+// arrive notes when a workspace's demand begins; mu is held.
+func (s *Scheduler) arrive(w ring.Workspace, now time.Time) {
+	if s.running[w] == 0 && s.queue.LenOf(w) == 0 {
+		s.since[w] = now
+	}
 }
 
 // start takes a place for the request, or returns nil; mu is held.
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -5,13 +5,19 @@
 // Terms:
 //
 //   - Demand: a workspace's running and queued requests at one node.
+//
 //   - Share: how many of them the node may run.
+//
 //   - Floor: the share that a node has without any demand, so that a first
 //     request need not wait for an exchange.
 //
+//   - Even part: the limit divided by the number of nodes.
+//
 // Invariants: with equal knowledge the shares of all nodes add up to at most
-// the limit plus one request a node; a node that hears no peer keeps to the
-// limit divided by the number of nodes that it last knew.
+// the limit plus one request a node; a node that hears no peer keeps to its
+// even part; a node goes beyond its even part only after it has heard every
+// live peer since its own demand began, so that bursts that begin everywhere
+// at once do not each take the whole limit.
 package limit
 
 import "math"
@@ -32,18 +38,29 @@
 // each live peer last told; Known is the number of nodes, itself with them,
 // that should be there.
 type View struct {
-	Limit int
-	Own   Demand
-	Peers []Demand
-	Known int
+	Limit     int
+	Own       Demand
+	Peers     []Demand
+	Known     int
+	Confirmed bool
 }
 
 // Share returns how many requests the node may run.
 func Share(v View) int {
 	nodes := max(v.Known, len(v.Peers)+1, 1)
+	even := max(1, v.Limit/nodes)
 	if len(v.Peers) == 0 && nodes > 1 {
-		return max(1, v.Limit/nodes)
+		return even
 	}
+	share := byDemand(v, nodes)
+	if !v.Confirmed {
+		return min(share, even)
+	}
+	return share
+}
+
+// byDemand splits the limit into floors and parts by demand.
+func byDemand(v View, nodes int) int {
 	all := v.Own.total()
 	for _, p := range v.Peers {
 		all += p.total()
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -32,7 +32,7 @@
 		}
 		sum := 0
 		for i := range demands {
-			v := View{Limit: limitOf, Own: demands[i], Known: n}
+			v := View{Limit: limitOf, Own: demands[i], Known: n, Confirmed: true}
 			for j := range demands {
 				if j != i {
 					v.Peers = append(v.Peers, demands[j])
@@ -51,6 +51,14 @@
 	is.Equal(Share(View{Limit: 60, Own: Demand{Running: 1, Queued: 99}, Known: 6}), 10)
 }
 
+func TestUnconfirmedNodeKeepsToItsPart(t *testing.T) {
+	is := is.New(t)
+	v := View{Limit: 60, Own: Demand{Queued: 99}, Peers: []Demand{{}, {}}, Known: 3}
+	is.Equal(Share(v), 20)
+	v.Confirmed = true
+	is.Equal(Share(v), 50)
+}
+
 func fill(q *Queue, w ring.Workspace, weight, n int, p deployment.Priority, from uint64, now time.Time) {
 	for i := range n {
 		q.Add(w, weight, Waiting{ID: from + uint64(i), Priority: p, Deadline: now.Add(time.Hour)}, now)
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -53,9 +53,10 @@
 
 // self returns what this node tells its peers.
 func (n *Node) self() Peer {
-	_, number := n.table.Configuration()
+	c, number := n.table.Configuration()
 	p := Peer{
-		Name: n.config.Name, Address: n.config.PeerAddress, Entry: n.config.Entry, Zone: n.config.Zone,
+		Configuration: c,
+		Name:          n.config.Name, Address: n.config.PeerAddress, Entry: n.config.Entry, Zone: n.config.Zone,
 		Incarnation: n.config.Incarnation, Number: number, Draining: n.IsDraining(),
 		Outstanding: n.table.Outstanding(), Leaving: n.table.Leaving(),
 	}
@@ -132,6 +133,10 @@
 // in force here. A peer that has a newer one is asked for it.
 func (n *Node) Hear(ctx context.Context, p Peer) int64 {
 	p.Heard = time.Now()
+	p.Configuration = nil
+	if _, number := n.table.Configuration(); p.Number != number {
+		p.Demand, p.Outstanding = n.table.lastCounts(p.Name)
+	}
 	n.table.PutPeer(p)
 	n.book.Correct(p.Name, p.Outstanding)
 	_, number := n.table.Configuration()
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -22,6 +22,15 @@
 	return !known || p.Heard.Sub(old.Heard) > peerSilence
 }
 
+// lastCounts returns what a peer last told of its requests. It stands in for
+// counts that cannot be read because the peer has another configuration.
+func (t *Table) lastCounts(name string) (map[ring.Workspace]PeerDemand, map[ring.Group]int) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	p := t.peers[name]
+	return p.Demand, p.Outstanding
+}
+
 // PutMembers takes the nodes that hold a membership in the store.
 func (t *Table) PutMembers(names map[string]bool) {
 	t.mu.Lock()
@@ -61,16 +70,18 @@
 }
 
 // LimitView returns what the node knows of a workspace's use of its limit.
-func (t *Table) LimitView(w ring.Workspace, limitOf int, own limit.Demand, now time.Time) limit.View {
+// Since is when the node's own demand began.
+func (t *Table) LimitView(w ring.Workspace, limitOf int, own limit.Demand, since, now time.Time) limit.View {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	v := limit.View{Limit: limitOf, Own: own, Known: max(1, len(t.members))}
+	v := limit.View{Limit: limitOf, Own: own, Known: max(1, len(t.members)), Confirmed: !since.IsZero()}
 	for _, p := range t.peers {
 		if !p.IsLive(now) {
 			continue
 		}
 		d := p.Demand[w]
 		v.Peers = append(v.Peers, limit.Demand{Running: d.Running, Queued: d.Queued})
+		v.Confirmed = v.Confirmed && p.Heard.After(since)
 	}
 	return v
 }
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -57,6 +57,8 @@
 	Demand      map[ring.Workspace]PeerDemand
 	Outstanding map[ring.Group]int
 	Leaving     []ring.VM
+	// Configuration is what a node's own heartbeat counts by; it is not sent.
+	Configuration *deployment.Configuration
 }
 
 // PeerDemand is a peer's demand of one workspace.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"sync"
-	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -17,6 +16,7 @@
 	"google.golang.org/grpc/status"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
 	"eelgrassring.dev/internal/node"
 	pb "eelgrassring.dev/internal/peer/peerpb"
 	"eelgrassring.dev/internal/placement"
@@ -67,7 +67,7 @@
 	if err != nil {
 		return 0, err
 	}
-	r, err := pb.NewPeerClient(conn).Heartbeat(ctx, RequestOf(self))
+	r, err := pb.NewPeerClient(conn).Heartbeat(ctx, RequestOf(self, self.Configuration))
 	if err != nil {
 		c.check(address, conn, err)
 		return 0, fmt.Errorf("heartbeat to %s: %w", address, err)
@@ -167,24 +167,54 @@
 	return out, nil
 }
 
-// RequestOf returns the message of a heartbeat.
-func RequestOf(p node.Peer) *pb.HeartbeatRequest {
+// RequestOf returns the message of a heartbeat. Counts are sent without names,
+// in the order of the configuration, because heartbeats are most of what nodes
+// say to each other.
+func RequestOf(p node.Peer, c *deployment.Configuration) *pb.HeartbeatRequest {
 	out := &pb.HeartbeatRequest{
 		Name: p.Name, Address: p.Address, Entry: p.Entry, Zone: string(p.Zone), Incarnation: p.Incarnation,
 		Revision: p.Number, Draining: p.Draining,
 	}
-	for w, d := range p.Demand {
-		out.Demands = append(out.Demands, &pb.Demand{Workspace: string(w), Running: uint32(d.Running), Queued: uint32(d.Queued)})
-	}
-	for g, n := range p.Outstanding {
-		out.Loads = append(out.Loads, &pb.Load{Group: string(g), Outstanding: uint32(n)})
-	}
 	for _, vm := range p.Leaving {
 		out.Leaving = append(out.Leaving, string(vm))
 	}
+	if c == nil {
+		return out
+	}
+	for _, w := range c.Workspaces() {
+		d := p.Demand[w.Name]
+		out.Running = append(out.Running, uint32(d.Running))
+		out.Queued = append(out.Queued, uint32(d.Queued))
+	}
+	for _, g := range c.Groups() {
+		out.Outstanding = append(out.Outstanding, uint32(p.Outstanding[g.Name]))
+	}
 	return out
 }
 
+// PeerOf reads a heartbeat. Counts are read only if their lengths fit the
+// configuration; the receiver checks that the revisions are the same.
+func PeerOf(r *pb.HeartbeatRequest, c *deployment.Configuration) node.Peer {
+	p := node.Peer{
+		Name: r.Name, Address: r.Address, Entry: r.Entry, Zone: ring.Zone(r.Zone), Incarnation: r.Incarnation,
+		Number: r.Revision, Draining: r.Draining,
+		Demand: map[ring.Workspace]node.PeerDemand{}, Outstanding: map[ring.Group]int{},
+	}
+	for _, vm := range r.Leaving {
+		p.Leaving = append(p.Leaving, ring.VM(vm))
+	}
+	if c == nil || len(r.Running) != len(c.Workspaces()) || len(r.Queued) != len(r.Running) || len(r.Outstanding) != len(c.Groups()) {
+		return p
+	}
+	for i, w := range c.Workspaces() {
+		p.Demand[w.Name] = node.PeerDemand{Running: int(r.Running[i]), Queued: int(r.Queued[i])}
+	}
+	for i, g := range c.Groups() {
+		p.Outstanding[g.Name] = int(r.Outstanding[i])
+	}
+	return p
+}
+
 // Server answers other nodes.
 type Server struct {
 	pb.UnimplementedPeerServer
@@ -198,20 +228,8 @@
 
 // Heartbeat takes what a peer tells.
 func (s *Server) Heartbeat(ctx context.Context, r *pb.HeartbeatRequest) (*pb.HeartbeatResponse, error) {
-	p := node.Peer{
-		Name: r.Name, Address: r.Address, Entry: r.Entry, Zone: ring.Zone(r.Zone), Incarnation: r.Incarnation,
-		Number: r.Revision, Draining: r.Draining, Heard: time.Now(),
-		Demand: map[ring.Workspace]node.PeerDemand{}, Outstanding: map[ring.Group]int{},
-	}
-	for _, d := range r.Demands {
-		p.Demand[ring.Workspace(d.Workspace)] = node.PeerDemand{Running: int(d.Running), Queued: int(d.Queued)}
-	}
-	for _, l := range r.Loads {
-		p.Outstanding[ring.Group(l.Group)] = int(l.Outstanding)
-	}
-	for _, vm := range r.Leaving {
-		p.Leaving = append(p.Leaving, ring.VM(vm))
-	}
+	c, _ := s.node.Table().Configuration()
+	p := PeerOf(r, c)
 	return &pb.HeartbeatResponse{Revision: s.node.Hear(ctx, p)}, nil
 }
 
--- a/internal/peer/slopes_test.go
+++ b/internal/peer/slopes_test.go
@@ -10,14 +10,54 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
 	"eelgrassring.dev/internal/engine"
 	"eelgrassring.dev/internal/node"
+	pb "eelgrassring.dev/internal/peer/peerpb"
 	standin "eelgrassring.dev/internal/standin/engine"
 )
 
+func configuration(t testing.TB, groups int) *deployment.Configuration {
+	t.Helper()
+	d := deployment.Document{
+		Name: "d", Objective: deployment.Objective{Downtime: 1}, Models: []deployment.Model{{Name: "m", Versions: []string{"1"}}},
+		VMs: []deployment.VM{{Name: "vm", Address: "127.0.0.1:1", Zone: "a", Domain: "d", Accelerators: 1, Fencing: "checked"}},
+	}
+	for g := range groups {
+		d.Groups = append(d.Groups, deployment.Group{Name: ring.Group(fmt.Sprintf("drafting-%03d", g)), Model: "m", Version: "1", Size: 1, Slots: 16})
+	}
+	for w := range 10 {
+		d.Workspaces = append(d.Workspaces, deployment.Workspace{Name: ring.Workspace(fmt.Sprintf("workspace-%d", w)), Weight: 1, Limit: 1})
+	}
+	c, err := deployment.New(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestHeartbeatReadsBack(t *testing.T) {
+	is := is.New(t)
+	c := configuration(t, 3)
+	p := node.Peer{
+		Name: "n1", Address: "a", Entry: "e", Zone: "z", Incarnation: "i", Number: 7, Draining: true, Leaving: []ring.VM{"vm"},
+		Outstanding: map[ring.Group]int{"drafting-000": 0, "drafting-001": 2, "drafting-002": 0}, Demand: map[ring.Workspace]node.PeerDemand{},
+	}
+	for i, w := range c.Workspaces() {
+		p.Demand[w.Name] = node.PeerDemand{Running: i, Queued: 2 * i}
+	}
+	text, err := proto.Marshal(RequestOf(p, c))
+	is.NoErr(err)
+	var r pb.HeartbeatRequest
+	is.NoErr(proto.Unmarshal(text, &r))
+	is.Equal(PeerOf(&r, c), p)
+	is.Equal(len(PeerOf(&r, configuration(t, 4)).Outstanding), 0) // counts of another configuration
+}
+
 // BenchmarkHeartbeat reports the size of one heartbeat by the groups at which
 // a node has requests.
 func BenchmarkHeartbeat(b *testing.B) {
@@ -25,15 +65,16 @@
 		b.Run(fmt.Sprint(groups, " groups"), func(b *testing.B) {
 			p := node.Peer{Name: "node-001", Address: "10.20.30.40:8181", Entry: "10.20.30.40:8081", Zone: "a", Incarnation: "abcdefghijk", Number: 18000,
 				Outstanding: map[ring.Group]int{}, Demand: map[ring.Workspace]node.PeerDemand{}}
-			for g := range groups {
-				p.Outstanding[ring.Group(fmt.Sprintf("drafting-%03d", g))] = 3
+			c := configuration(b, groups)
+			for _, g := range c.Groups() {
+				p.Outstanding[g.Name] = 3
 			}
-			for w := range 10 {
-				p.Demand[ring.Workspace(fmt.Sprintf("workspace-%d", w))] = node.PeerDemand{Running: 10, Queued: 1}
+			for _, w := range c.Workspaces() {
+				p.Demand[w.Name] = node.PeerDemand{Running: 10, Queued: 1}
 			}
 			size := 0
 			for range b.N {
-				text, err := proto.Marshal(RequestOf(p))
+				text, err := proto.Marshal(RequestOf(p, c))
 				if err != nil {
 					b.Fatal(err)
 				}
