gateway: a caller that stops reading holds no slot

Cause: a write to a caller whose connection fell silent waited for good, and the request kept its group's slot (TestCallerThatStopsReadingHoldsNoSlot, failed first: 5 s instead of under 1 s). Now: each write has a deadline, after it the try is cancelled; a claimed request goes on and its answer is recorded.

--- a/internal/fake/call.go
+++ b/internal/fake/call.go
@@ -91,6 +91,14 @@
 
 // DoContext is Do for a caller who may leave.
 func (s *System) DoContext(ctx context.Context, c Call) Result {
+	w := httptest.NewRecorder()
+	took := s.DoTo(ctx, w, c)
+	return Result{Status: w.Code, Header: w.Header(), Body: w.Body.String(), Took: took}
+}
+
+// DoTo sends the call to its node, with a writer of the caller's for the
+// answer, and returns how long it took.
+func (s *System) DoTo(ctx context.Context, w http.ResponseWriter, c Call) time.Duration {
 	m := s.Node(c.Node)
 	m.calls.Add(1)
 	defer m.calls.Done()
@@ -106,10 +114,9 @@
 	for name, value := range c.Header {
 		r.Header.Set(name, value)
 	}
-	w := httptest.NewRecorder()
 	begin := time.Now()
 	m.Gateway.Handler().ServeHTTP(w, r)
-	return Result{Status: w.Code, Header: w.Header(), Body: w.Body.String(), Took: time.Since(begin)}
+	return time.Since(begin)
 }
 
 func printed(d deployment.Document) []byte {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -40,6 +40,8 @@
 	status int
 	// onFirst hears of each piece of an answer.
 	onFirst func()
+	// gone is set once the caller took no more bytes.
+	gone bool
 }
 
 // mayGoOn reports whether another try may continue the answer.
@@ -151,9 +153,20 @@
 	if o.record != nil {
 		o.record.Write(b)
 	}
-	_, _ = o.w.Write(b) // A caller that is gone ends the request's context.
+	if o.gone {
+		return
+	}
+	// A caller that stops reading must not hold a slot for good.
+	_ = http.NewResponseController(o.w).SetWriteDeadline(time.Now().Add(o.server.config.Gap))
+	if _, err := o.w.Write(b); err != nil {
+		o.gone = true
+	}
 }
 
+// isAbandoned reports whether nobody wants the rest of the answer: the caller
+// is gone, and no claim records it.
+func (o *relay) isAbandoned() bool { return o.gone && o.record == nil }
+
 // passStream passes a stream on until it is whole.
 func (o *relay) passStream(resp *http.Response, route node.Route, dog *watchdog) *tryError {
 	s := o.server
@@ -186,6 +199,9 @@
 		if failed := o.chunk(data); failed != nil {
 			return failed
 		}
+		if o.isAbandoned() {
+			return nil
+		}
 	}
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -160,6 +160,8 @@
 		if s.config.Node.IsDraining() {
 			w.Header().Set("Connection", "close")
 		}
+		// Streams set write deadlines; the connection may serve others after.
+		defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 		next(w, r, c)
 		s.config.Metrics.Observe(metric.SpanTotal, c.class, time.Since(c.begin))
 	}
--- a/internal/proof/stream_test.go
+++ b/internal/proof/stream_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
+	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -154,6 +157,43 @@
 	})
 }
 
+// stuckWriter takes some bytes and then none, as the connection of a caller
+// that stopped reading does when its write deadline passes.
+type stuckWriter struct {
+	*httptest.ResponseRecorder
+	left int
+}
+
+func (w *stuckWriter) Write(b []byte) (int, error) {
+	if w.left -= len(b); w.left < 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return w.ResponseRecorder.Write(b)
+}
+
+func TestCallerThatStopsReadingHoldsNoSlot(t *testing.T) {
+	inBubble(t, options(document(1, 3, 1, 4), 1), func(is *is.I, s *fake.System) {
+		w := &stuckWriter{ResponseRecorder: httptest.NewRecorder(), left: 4000}
+		took := s.DoTo(context.Background(), w, fake.Chat("n1", keyA, "long", 500))
+		is.True(took < time.Second) // 500 tokens would take 5 s
+		time.Sleep(time.Second)
+		is.Equal(s.Engine(s.VMAt(headAddress(s))).Counters().Cancelled, 1)
+		is.Equal(s.Node("n1").Node.Table().Outstanding()["g1"], 0)
+		is.Equal(s.History.Requests(), 1) // nobody wants another try
+	})
+}
+
+func TestAnswerIsRecordedForCallerThatStopsReading(t *testing.T) {
+	inBubble(t, options(document(1, 3, 1, 4), 2), func(is *is.I, s *fake.System) {
+		c := fake.Chat("n1", keyA, "long", 50)
+		c.Once = "k"
+		s.DoTo(context.Background(), &stuckWriter{ResponseRecorder: httptest.NewRecorder(), left: 1000}, c)
+		c.Node = "n2"
+		isWholeAnswer(is, s.Do(c), "long", 50)
+		is.Equal(s.History.Requests(), 1)
+	})
+}
+
 // roundTrip makes a transport of a function.
 type roundTrip func(*http.Request) (*http.Response, error)
 
