--- /dev/null
+++ b/internal/gateway/relay_test.go
@@ -0,0 +1,147 @@
+package gateway
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"eelgrassring.dev/internal/openai"
+)
+
+// TestMain fixes the seed of the property tests, so that every run is alike.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// cut splits text at drawn places.
+func cut(t *rapid.T, label, text string) []string {
+	var out []string
+	for text != "" {
+		n := rapid.IntRange(1, len(text)).Draw(t, label)
+		out = append(out, text[:n])
+		text = text[n:]
+	}
+	return out
+}
+
+func chunkOf(id, text string) []byte {
+	data, err := json.Marshal(openai.Completion{ID: id, Choices: []openai.Choice{{Delta: &openai.Delta{Content: text}}}})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func newRelay() (*relay, *httptest.ResponseRecorder) {
+	w := httptest.NewRecorder()
+	s := &Server{config: Config{Gap: time.Second}}
+	return &relay{server: s, w: w, query: &completion{stream: true, spliceable: true}, onFirst: func() {}}, w
+}
+
+// received joins the texts that the caller got and the identities of chunks.
+func received(body string) (text string, ids map[string]bool) {
+	ids = map[string]bool{}
+	reader := bufio.NewReader(strings.NewReader(body))
+	for {
+		data, err := readEvent(reader)
+		if err != nil {
+			return text, ids
+		}
+		c, ok := chunkText(data)
+		if ok {
+			text += c.Text()
+			ids[c.ID] = true
+		}
+	}
+}
+
+// However two tries cut the text and wherever the first breaks, the caller
+// gets every byte once, under one identity.
+func TestSpliceGivesEveryByteOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringMatching(`[a-z ]{1,60}`).Draw(t, "text")
+		o, w := newRelay()
+		first := cut(t, "first", text)
+		broken := rapid.IntRange(0, len(first)).Draw(t, "broken")
+		for _, piece := range first[:broken] {
+			if err := o.chunk(chunkOf("one", piece)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		o.seen = 0
+		for _, piece := range cut(t, "second", text) {
+			if err := o.chunk(chunkOf("two", piece)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		got, ids := received(w.Body.String())
+		if got != text || len(ids) != 1 {
+			t.Fatalf("got %q of %q under %v", got, text, ids)
+		}
+	})
+}
+
+func TestSpliceRefusesAnotherText(t *testing.T) {
+	is := is.New(t)
+	o, w := newRelay()
+	is.True(o.chunk(chunkOf("one", "the quick ")) == nil)
+	o.seen = 0
+	is.True(o.chunk(chunkOf("two", "the ")) == nil)
+	failed := o.chunk(chunkOf("two", "slow "))
+	is.True(failed != nil && failed.diverged)
+	got, _ := received(w.Body.String())
+	is.Equal(got, "the quick ")
+}
+
+func TestReadEvent(t *testing.T) {
+	tests := []struct {
+		name, text, want string
+		fails            bool
+	}{
+		{"plain", "data: x\n\n", "x", false},
+		{"no space and carriage returns", "data:x\r\n\r\n", "x", false},
+		{"comments and other fields", ": ping\nevent: e\ndata: x\n\n", "x", false},
+		{"cut in the middle", "data: x\n", "", true},
+		{"empty", "", "", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := readEvent(bufio.NewReader(strings.NewReader(test.text)))
+			is.Equal(err != nil, test.fails)
+			is.Equal(string(got), test.want)
+		})
+	}
+}
+
+func FuzzReadEvent(f *testing.F) {
+	f.Add("data: x\n\ndata: [DONE]\n\n")
+	f.Fuzz(func(_ *testing.T, text string) {
+		r := bufio.NewReader(strings.NewReader(text))
+		for range len(text) + 1 {
+			if _, err := readEvent(r); err != nil {
+				return
+			}
+		}
+		panic("more events than bytes")
+	})
+}
+
+func TestCanonicalPathHidesNoRoute(t *testing.T) {
+	is := is.New(t)
+	for _, path := range []string{"/services/r/signoffs", "/services/r//signoffs", "/services/r/./signoffs", "/services/r/x/../signoffs", "/services/r/signoffs/"} {
+		is.Equal(canonical(path, "r"), "/signoffs")
+	}
+}
