fake: date a request by its dispatch, not by its arrival

Trace: TestRequestThatArrivesLateAtAnIncompleteGroup makes the case on purpose. A head is paused, requests are dispatched to it while its group is whole as far as anybody can know, a member dies, the head wakes 3 s later and the requests arrive, from all nodes at once. Dated by arrival the checker reports the same; no node can prevent it, and the callers get their whole answers all the same. Now: the bound of 1.55 s is as before and holds the dispatch; the test also requires that arrivals were later than 3 s, so that the case was met.

--- a/internal/fake/history.go
+++ b/internal/fake/history.go
@@ -15,9 +15,11 @@
 
 // The entries of a history.
 type (
-	// Sent is a request that reached a backend server.
+	// Sent is a request that reached a backend server. At is when it was
+	// dispatched; it may arrive later, for the server may be paused.
 	Sent struct {
 		At       time.Time
+		Arrived  time.Time
 		From, To string
 		Epoch    ring.Epoch
 		Request  string
@@ -76,6 +78,15 @@
 	return all[len(all)-1]
 }
 
+// LongestWay returns the longest time from a dispatch to its arrival.
+func (h *History) LongestWay() time.Duration {
+	longest := time.Duration(0)
+	for _, sent := range of[Sent](h) {
+		longest = max(longest, sent.Arrived.Sub(sent.At))
+	}
+	return longest
+}
+
 // records returns every record that was ever stored, by epoch.
 func records(keys *platform.Keyspace) map[ring.Epoch]placement.Record {
 	out := map[ring.Epoch]placement.Record{}
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -47,7 +47,7 @@
 	deaf    map[linkName]bool
 	frozen  map[string]bool
 	changed chan struct{}
-	sent    func(from, to string, r *http.Request)
+	sent    func(Passage)
 	open    map[*writer]bool
 }
 
@@ -60,7 +60,14 @@
 }
 
 // OnSent names a function that hears of every request that reaches a host.
-func (n *Network) OnSent(f func(from, to string, r *http.Request)) { n.sent = f }
+func (n *Network) OnSent(f func(Passage)) { n.sent = f }
+
+// Passage is a request that reached a host, and when it was dispatched.
+type Passage struct {
+	From, To   string
+	Dispatched time.Time
+	Request    *http.Request
+}
 
 func (n *Network) change(do func()) {
 	n.mu.Lock()
@@ -192,6 +199,7 @@
 	ctx := r.Context()
 	l := linkName{t.process, r.URL.Host}
 	t.network.thawed(t.process)
+	dispatched := time.Now()
 	if err := t.connect(ctx, l); err != nil {
 		return nil, err
 	}
@@ -202,7 +210,7 @@
 		return nil, err
 	}
 	time.Sleep(hop)
-	return t.exchange(ctx, l, r)
+	return t.exchange(ctx, l, r, dispatched)
 }
 
 // connect opens a connection, or fails as TCP would.
@@ -224,13 +232,13 @@
 	}
 }
 
-func (t *transport) exchange(ctx context.Context, l linkName, r *http.Request) (*http.Response, error) {
+func (t *transport) exchange(ctx context.Context, l linkName, r *http.Request, dispatched time.Time) (*http.Response, error) {
 	h, _, _, _ := t.network.state(l)
 	if !h.up {
 		return nil, &net.OpError{Op: "read", Net: "tcp", Err: syscall.ECONNRESET}
 	}
 	if t.network.sent != nil {
-		t.network.sent(t.process, l.to, r)
+		t.network.sent(Passage{t.process, l.to, dispatched, r})
 	}
 	inner, cancel := context.WithCancel(h.life)
 	w := &writer{network: t.network, link: l, life: inner, header: http.Header{}, head: make(chan int, 1)}
--- a/internal/fake/system.go
+++ b/internal/fake/system.go
@@ -123,12 +123,16 @@
 // as the recording of outcomes. In virtual time it costs nothing.
 const lastWork = 10 * time.Minute
 
-func (s *System) noteSent(from, to string, r *http.Request) {
-	epoch, err := strconv.ParseUint(r.Header.Get(engine.HeaderEpoch), 10, 64)
+func (s *System) noteSent(p Passage) {
+	header := p.Request.Header
+	epoch, err := strconv.ParseUint(header.Get(engine.HeaderEpoch), 10, 64)
 	if err != nil {
 		return
 	}
-	s.History.add(Sent{At: time.Now(), From: from, To: to, Epoch: ring.Epoch(epoch), Request: r.Header.Get(engine.HeaderRequest)})
+	s.History.add(Sent{
+		At: p.Dispatched, Arrived: time.Now(), From: p.From, To: p.To,
+		Epoch: ring.Epoch(epoch), Request: header.Get(engine.HeaderRequest),
+	})
 }
 
 // Apply puts a document in force on the given base.
--- a/internal/proof/whole_test.go
+++ b/internal/proof/whole_test.go
@@ -152,3 +152,22 @@
 		is.Equal(now[2], old[2])
 	})
 }
+
+// A request that was dispatched to a whole group may reach its head late: the
+// head was paused, and another member died meanwhile. The caller must still
+// get exactly its own answer, and the dispatch was in time.
+func TestRequestThatArrivesLateAtAnIncompleteGroup(t *testing.T) {
+	inBubble(t, options(document(2, 3, 1, 8), 2), func(is *is.I, s *fake.System) {
+		head, other := members(s, "g1")[0].VM, members(s, "g1")[1].VM
+		s.PauseEngine(head)
+		results := make(chan []fake.Result, 1)
+		go func() { results <- traffic(s, 500*time.Millisecond) }()
+		time.Sleep(700 * time.Millisecond)
+		s.CrashEngine(other)
+		time.Sleep(3 * time.Second)
+		s.ResumeEngine(head)
+		is.Equal(checkAnswers(<-results), nil)
+		is.True(s.History.LongestWay() > 3*time.Second) // the case was met
+		is.Equal(fake.CheckWhole(s.History, s.Keys, staleBound), nil)
+	})
+}
