--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -9,6 +9,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 )
 
 const (
@@ -194,7 +195,7 @@
 			}
 		}
 		last = err
-		if !pause(ctx, settlePause) {
+		if !clock.Sleep(ctx, settlePause) {
 			break
 		}
 	}
@@ -225,7 +226,7 @@
 		if h.removed(ctx) {
 			return
 		}
-		pause(ctx, time.Second)
+		clock.Sleep(ctx, time.Second)
 	}
 }
 
@@ -246,14 +247,3 @@
 	_, err := h.ledger.batch.Commit(ctx, txn, settleOrder)
 	return err == nil
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- /dev/null
+++ b/internal/experiment/traffic.go
@@ -0,0 +1,176 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+	"eelgrassring.dev/internal/limit"
+)
+
+// startTraffic begins an open loop of arrivals for each workspace: a slow
+// system does not slow the arrivals.
+func (s *Sim) startTraffic() {
+	total := 0.0
+	for _, w := range s.shape.Workspaces {
+		total += w.Share
+	}
+	for i, w := range s.shape.Workspaces {
+		rate := s.shape.rate() * w.Share / total
+		src := rand.NewPCG(s.shape.Seed, uint64(100+i))
+		own := rand.New(src)
+		s.arrive(i, rate, distuv.Exponential{Rate: 1, Src: src}, own)
+	}
+}
+
+func (s *Sim) arrive(workspace int, rate float64, gaps distuv.Exponential, own *rand.Rand) {
+	w := s.shape.Workspaces[workspace]
+	span := time.Duration(s.shape.Span)
+	now := rate
+	if w.Flood > 0 && s.now > span/3 && s.now < span*2/3 {
+		now *= w.Flood
+	}
+	s.after(time.Duration(gaps.Rand()/now*float64(time.Second)), func() {
+		if s.now > span {
+			return
+		}
+		s.nextID++
+		r := &request{id: s.nextID, workspace: workspace, arrived: s.now, tried: map[int]bool{}}
+		r.prefix = uint64(workspace)<<32 | uint64(zipf(own, s.shape.Prefixes))
+		r.tokens = max(1, int(s.lengths.Rand()))
+		s.result.arrived(r)
+		s.enter(r, own)
+		s.arrive(workspace, rate, gaps, own)
+	})
+}
+
+// zipf draws a rank below n with a probability of about 1/(rank+1).
+func zipf(random *rand.Rand, n int) int {
+	if n <= 1 {
+		return 0
+	}
+	return int(pow(float64(n), random.Float64())) - 1
+}
+
+// enter gives the request to a node, as the balancer does.
+func (s *Sim) enter(r *request, random *rand.Rand) {
+	var live []*simNode
+	for _, n := range s.nodes {
+		if !n.dead {
+			live = append(live, n)
+		}
+	}
+	if len(live) == 0 {
+		s.end(r, false)
+		return
+	}
+	r.node = live[random.IntN(len(live))]
+	r.node.budget.Request()
+	s.admit(r)
+}
+
+func (s *Sim) workspaceName(i int) ring.Workspace { return ring.Workspace(s.shape.Workspaces[i].Name) }
+
+func (s *Sim) admit(r *request) {
+	n := r.node
+	name := s.workspaceName(r.workspace)
+	if n.running[r.workspace] == 0 && n.queue.LenOf(name) == 0 {
+		n.since[r.workspace] = s.now
+	}
+	if n.queue.LenOf(name) == 0 && s.mayRun(n, r.workspace) && s.start(r) {
+		n.queue.Started(s.clock())
+		return
+	}
+	w := s.shape.Workspaces[r.workspace]
+	deadline := s.epoch.Add(r.arrived + time.Duration(s.shape.Patience))
+	waiting := limit.Waiting{ID: r.id, Priority: deployment.PriorityNormal, Deadline: deadline}
+	if n.queue.Add(name, w.Weight, waiting, s.clock()) != nil {
+		s.end(r, false)
+		return
+	}
+	n.waiting[r.id] = r
+}
+
+func (s *Sim) mayRun(n *simNode, workspace int) bool {
+	v := limit.View{Limit: s.shape.Workspaces[workspace].Limit, Known: len(s.nodes), Confirmed: true}
+	v.Own = limit.Demand{Running: n.running[workspace], Queued: n.queue.LenOf(s.workspaceName(workspace))}
+	for _, p := range s.nodes {
+		if p != n && !p.dead {
+			v.Peers = append(v.Peers, p.toldDemand[workspace])
+			v.Confirmed = v.Confirmed && p.toldAt > n.since[workspace]
+		}
+	}
+	return limit.Admits(v)
+}
+
+func (s *Sim) end(r *request, answered bool) {
+	if !r.ended {
+		r.ended = true
+		s.result.ended(answered)
+	}
+}
+
+func (s *Sim) pump(n *simNode) {
+	if n.dead {
+		return
+	}
+	for _, w := range n.queue.Expired(s.clock()) {
+		s.end(n.waiting[w.ID], false)
+		delete(n.waiting, w.ID)
+	}
+	for {
+		w, ok := n.queue.Next(
+			func(name ring.Workspace) bool { return s.mayRun(n, s.indexOf(name)) },
+			func(w limit.Waiting) bool { return s.start(n.waiting[w.ID]) }, s.clock())
+		if !ok {
+			return
+		}
+		delete(n.waiting, w.ID)
+	}
+}
+
+func (s *Sim) indexOf(name ring.Workspace) int {
+	for i, w := range s.shape.Workspaces {
+		if w.Name == string(name) {
+			return i
+		}
+	}
+	return -1
+}
+
+// startHeartbeats makes each node tell the others what it has, at its own
+// phase.
+func (s *Sim) startHeartbeats() {
+	for i, n := range s.nodes {
+		interval := time.Duration(s.shape.Heartbeat)
+		s.after(interval*time.Duration(i)/time.Duration(len(s.nodes)), func() { s.heartbeat(n) })
+	}
+}
+
+func (s *Sim) heartbeat(n *simNode) {
+	if n.dead || s.now > time.Duration(s.shape.Span)+time.Minute {
+		return
+	}
+	copy(n.told, n.outstanding)
+	s.book.Correct(n.name(), n.held())
+	n.toldAt = s.now
+	for i := range n.toldDemand {
+		n.toldDemand[i] = limit.Demand{Running: n.running[i], Queued: n.queue.LenOf(s.workspaceName(i))}
+	}
+	for _, p := range s.nodes {
+		s.pump(p)
+	}
+	s.after(time.Duration(s.shape.Heartbeat), func() { s.heartbeat(n) })
+}
+
+// held returns the node's requests by group, as its heartbeat tells them.
+func (n *simNode) held() map[ring.Group]int {
+	out := map[ring.Group]int{}
+	for i, c := range n.outstanding {
+		out[groupName(i)] = c
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fake/peers.go
@@ -0,0 +1,70 @@
+package fake
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/node"
+	"eelgrassring.dev/internal/reservation"
+)
+
+// peerClient carries heartbeats between the nodes over the network's links.
+type peerClient struct {
+	system *System
+	from   string
+}
+
+var errNoPeer = errors.New("peer does not answer")
+
+func (p *peerClient) reach(ctx context.Context, to string) (*Member, error) {
+	time.Sleep(hop)
+	m := p.system.Node(to)
+	if m == nil {
+		return nil, errNoPeer
+	}
+	_, forth, back, _ := p.system.Net.state(linkName{p.from, to})
+	if !forth || !back {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return m, nil
+}
+
+// Heartbeat implements node.PeerClient.
+func (p *peerClient) Heartbeat(ctx context.Context, address string, self node.Peer) (int64, error) {
+	m, err := p.reach(ctx, address)
+	if err != nil {
+		return 0, err
+	}
+	return m.Node.Hear(ctx, self), nil
+}
+
+// Reserve implements node.PeerClient.
+func (p *peerClient) Reserve(ctx context.Context, address string, g ring.Group, holder string) (reservation.Answer, error) {
+	m, err := p.reach(ctx, address)
+	if err != nil {
+		return reservation.AnswerNone, err
+	}
+	return m.Node.GrantPlace(g, holder), nil
+}
+
+// Note implements node.PeerClient.
+func (p *peerClient) Note(ctx context.Context, address, holder string, n node.Notes) error {
+	m, err := p.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	m.Node.TakeNotes(holder, n)
+	return nil
+}
+
+// Configuration implements node.PeerClient.
+func (p *peerClient) Configuration(ctx context.Context, address string, _ int64) (node.Handover, error) {
+	m, err := p.reach(ctx, address)
+	if err != nil {
+		return node.Handover{}, err
+	}
+	return m.Node.Handover(), nil
+}
--- a/internal/fake/system.go
+++ b/internal/fake/system.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"log/slog"
 	"net/http"
 	"strconv"
 	"sync"
@@ -13,15 +11,9 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/catalog"
-	"eelgrassring.dev/internal/claim"
 	"eelgrassring.dev/internal/deployment"
 	"eelgrassring.dev/internal/engine"
-	"eelgrassring.dev/internal/event"
-	"eelgrassring.dev/internal/gateway"
-	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/node"
-	"eelgrassring.dev/internal/placement"
-	"eelgrassring.dev/internal/reservation"
 	standin "eelgrassring.dev/internal/standin/engine"
 	"eelgrassring.dev/internal/standin/platform"
 	"eelgrassring.dev/internal/standin/service"
@@ -60,19 +52,6 @@
 	finished sync.WaitGroup
 }
 
-// Member is one node of the system.
-type Member struct {
-	Name    string
-	Node    *node.Node
-	Gateway *gateway.Server
-	Store   *Store
-	cancel  context.CancelFunc
-	done    chan struct{}
-	calls   sync.WaitGroup
-	// life ends when the node is killed; callers' connections end with it.
-	life context.Context
-}
-
 // NewSystem starts everything and applies the document.
 func NewSystem(o Options) *System {
 	if o.EvidenceAge == 0 {
@@ -228,216 +207,6 @@
 // VMs implements ring.VMList for the nodes.
 func (s *System) VMs(context.Context) ([]ring.ListedVM, error) { return s.Lists.All(), nil }
 
-// StartNode starts a node.
-func (s *System) StartNode(name string) *Member {
-	s.mu.Lock()
-	s.starts++
-	incarnation := fmt.Sprintf("i%d", s.starts)
-	s.mu.Unlock()
-	store := NewStore(s.Keys)
-	if s.blind {
-		store.IgnoreGuards()
-	}
-	log := event.NewLog(slog.New(slog.DiscardHandler))
-	if s.options.Log != nil {
-		log = event.NewLog(slog.New(slog.NewTextHandler(s.options.Log, nil)).With("node", name))
-	}
-	kept, fresh := s.Net.From(name, true), s.Net.From(name, false)
-	timing := node.DefaultTiming()
-	n := node.New(node.Config{
-		Name: name, Incarnation: incarnation, Zone: "a", PeerAddress: name, Entry: name,
-		Store: store, VMList: s, Peers: &peerClient{system: s, from: name},
-		Backends: engine.NewControl(engine.ControlConfig{Timeout: timing.ProbeTimeout, Kept: kept, Fresh: fresh}),
-		Table:    node.NewTable(node.TableConfig{EvidenceAge: s.options.EvidenceAge}),
-		Log:      log, Timing: timing, Placement: placement.DefaultOptions(),
-	})
-	if s.options.Transport != nil {
-		kept, fresh = s.options.Transport(kept), s.options.Transport(fresh)
-	}
-	ledger := claim.NewLedger(claim.Config{Store: store, Node: name + "/" + incarnation, Batch: claim.DefaultBatchConfig()})
-	m := &Member{Name: name, Node: n, Store: store, done: make(chan struct{})}
-	m.Gateway = gateway.New(gateway.Config{
-		Node: n, Ledger: ledger, Log: log, Metrics: metric.New(), Body: 1 << 20, Queue: 1000,
-		First: 10 * time.Second, Gap: 3 * time.Second, Patience: 10 * time.Second, Kept: kept, Fresh: fresh,
-	})
-	ctx, cancel := context.WithCancel(context.Background())
-	m.cancel, m.life = cancel, ctx
-	go ledger.Run(ctx)
-	go m.Gateway.Scheduler().Run(ctx)
-	go func() {
-		n.Run(ctx)
-		close(m.done)
-	}()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.nodes[name] = m
-	return m
-}
-
-// IgnoreGuards makes the stores of all nodes that start from now on ignore
-// the guards of transactions.
-func (s *System) IgnoreGuards() { s.blind = true }
-
-// KillNode ends a node at once, as kill -9 does: its calls are cut off and its
-// leases stay until they expire.
-func (s *System) KillNode(name string) {
-	if m := s.Node(name); m != nil {
-		m.Store.Set(platform.FaultDown)
-		s.stopNode(name)
-	}
-}
-
-// stopNode ends a node's loops; they give up its leases if they can.
-func (s *System) stopNode(name string) {
-	s.mu.Lock()
-	m, ok := s.nodes[name]
-	delete(s.nodes, name)
-	s.mu.Unlock()
-	if !ok {
-		return
-	}
-	m.cancel()
-	<-m.done
-}
-
-// DrainNode stops a node gracefully, as its process does on SIGTERM.
-func (s *System) DrainNode(name string, lag time.Duration) {
-	m := s.Node(name)
-	m.Node.Drain()
-	time.Sleep(lag)
-	m.calls.Wait()
-	m.Gateway.Settled(context.Background())
-	s.stopNode(name)
-}
-
-// FreezeNode holds all that a node sends to the store and to backend servers,
-// as pauses right before its calls would.
-func (s *System) FreezeNode(name string, on bool) {
-	s.Net.Freeze(name, on)
-	s.Node(name).Store.Freeze(on)
-}
-
-// Node returns a node.
-func (s *System) Node(name string) *Member {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.nodes[name]
-}
-
-// NodeNames returns the running nodes by name.
-func (s *System) NodeNames() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []string
-	for i := range 100 {
-		name := fmt.Sprintf("n%d", i+1)
-		if _, ok := s.nodes[name]; ok {
-			out = append(out, name)
-		}
-	}
-	return out
-}
-
-// Controller returns the node that believes it is the controller, or "".
-func (s *System) Controller() string {
-	for _, name := range s.NodeNames() {
-		if s.Node(name).Node.IsController() {
-			return name
-		}
-	}
-	return ""
-}
-
-// Serving counts the groups that a node would send requests to.
-func (s *System) Serving(name string) int {
-	n := 0
-	for _, g := range s.options.Document.Groups {
-		if s.Node(name).Node.Table().Group(g.Name, time.Now()).Reason == node.ReasonNone {
-			n++
-		}
-	}
-	return n
-}
-
-// AwaitServing waits until all nodes would send requests to so many groups.
-func (s *System) AwaitServing(groups int, within time.Duration) error {
-	deadline := time.Now().Add(within)
-	for {
-		open := 0
-		for _, name := range s.NodeNames() {
-			if s.Serving(name) != groups {
-				open++
-			}
-		}
-		if open == 0 {
-			return nil
-		}
-		if time.Now().After(deadline) {
-			return fmt.Errorf("%d nodes do not see %d serving groups within %s", open, groups, within)
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
-// peerClient carries heartbeats between the nodes over the network's links.
-type peerClient struct {
-	system *System
-	from   string
-}
-
-var errNoPeer = errors.New("peer does not answer")
-
-func (p *peerClient) reach(ctx context.Context, to string) (*Member, error) {
-	time.Sleep(hop)
-	m := p.system.Node(to)
-	if m == nil {
-		return nil, errNoPeer
-	}
-	_, forth, back, _ := p.system.Net.state(linkName{p.from, to})
-	if !forth || !back {
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	return m, nil
-}
-
-// Heartbeat implements node.PeerClient.
-func (p *peerClient) Heartbeat(ctx context.Context, address string, self node.Peer) (int64, error) {
-	m, err := p.reach(ctx, address)
-	if err != nil {
-		return 0, err
-	}
-	return m.Node.Hear(ctx, self), nil
-}
-
-// Reserve implements node.PeerClient.
-func (p *peerClient) Reserve(ctx context.Context, address string, g ring.Group, holder string) (reservation.Answer, error) {
-	m, err := p.reach(ctx, address)
-	if err != nil {
-		return reservation.AnswerNone, err
-	}
-	return m.Node.GrantPlace(g, holder), nil
-}
-
-// Note implements node.PeerClient.
-func (p *peerClient) Note(ctx context.Context, address, holder string, n node.Notes) error {
-	m, err := p.reach(ctx, address)
-	if err != nil {
-		return err
-	}
-	m.Node.TakeNotes(holder, n)
-	return nil
-}
-
-// Configuration implements node.PeerClient.
-func (p *peerClient) Configuration(ctx context.Context, address string, _ int64) (node.Handover, error) {
-	m, err := p.reach(ctx, address)
-	if err != nil {
-		return node.Handover{}, err
-	}
-	return m.Node.Handover(), nil
-}
-
 // OldOrder returns an order with an epoch that is older than all others.
 func OldOrder(group ring.Group, rank int) ring.Order {
 	return ring.Order{Epoch: 0, Group: group, Rank: rank, Spec: ring.Spec{Model: "m", Version: "1"}}
@@ -469,12 +238,3 @@
 	}
 	return ""
 }
-
-// Introduce makes a node known to all others, as its membership would.
-func (s *System) Introduce(name string) {
-	for _, other := range s.NodeNames() {
-		if other != name {
-			s.Node(other).Node.Table().IntroducePeer(node.Peer{Name: name, Address: name, Incarnation: "introduced"})
-		}
-	}
-}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -11,6 +11,7 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/catalog"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/placement"
 	"eelgrassring.dev/internal/routing"
@@ -72,7 +73,7 @@
 	for ctx.Err() == nil {
 		t, ok := n.campaign(ctx)
 		if !ok {
-			pause(ctx, n.config.Timing.Control/6)
+			clock.Sleep(ctx, n.config.Timing.Control/6)
 			continue
 		}
 		n.setControl(true)
@@ -95,7 +96,7 @@
 	}
 	// Nodes try one after the other, so that a vacancy does not bring a write
 	// of every node at once.
-	pause(ctx, time.Duration(n.turn())*campaignStep)
+	clock.Sleep(ctx, time.Duration(n.turn())*campaignStep)
 	if !n.isVacant() {
 		return nil, false
 	}
@@ -274,7 +275,7 @@
 			g.perform(ctx, g.core.Step(loaded, time.Now()))
 			return
 		}
-		pause(ctx, g.node.config.Timing.Decide)
+		clock.Sleep(ctx, g.node.config.Timing.Decide)
 	}
 }
 
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -6,6 +6,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/reservation"
 )
 
@@ -128,7 +129,7 @@
 			return
 		case <-n.outbox.filled:
 		}
-		pause(ctx, noteDelay)
+		clock.Sleep(ctx, noteDelay)
 		for address, news := range n.outbox.empty() {
 			if address == "" {
 				n.TakeNotes(n.config.Name, news)
--- /dev/null
+++ b/internal/node/serving.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/deployment"
+	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/routing"
+)
+
+// isLeaving reports whether this node or a live peer knows that the VM is
+// leaving; mu is held.
+func (t *Table) isLeaving(vm ring.VM, now time.Time) bool {
+	if t.listed[vm] || t.evidence[vm].Status.Leaving {
+		return true
+	}
+	for _, p := range t.peers {
+		if now.Sub(p.Heard) > peerSilence {
+			continue
+		}
+		for _, one := range p.Leaving {
+			if one == vm {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Reason says why a group gets no requests; it is empty when it does.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone      Reason = ""
+	ReasonNoRecord  Reason = "no record"
+	ReasonNotReady  Reason = "not ready"
+	ReasonStale     Reason = "no recent report of a member"
+	ReasonRestarted Reason = "a member lost its place"
+	ReasonMismatch  Reason = "a member does not confirm the epoch"
+	ReasonLeaving   Reason = "a member is leaving"
+)
+
+// serving says whether the group may get a request; mu is held.
+func (t *Table) serving(r placement.Record, now time.Time) (Reason, ring.VM) {
+	if r.Phase != placement.PhaseReady {
+		return ReasonNotReady, ""
+	}
+	for _, m := range r.Members {
+		e, ok := t.evidence[m.VM]
+		switch {
+		case !ok || now.Sub(e.Asked) > t.evidenceAge:
+			return ReasonStale, m.VM
+		case e.Status.Incarnation != m.Incarnation:
+			return ReasonRestarted, m.VM
+		case e.Status.Epoch != r.Epoch || e.Status.Group != r.Group || e.Status.Phase != ring.BackendReady:
+			return ReasonMismatch, m.VM
+		case t.isLeaving(m.VM, now):
+			return ReasonLeaving, m.VM
+		}
+	}
+	return ReasonNone, ""
+}
+
+// Route is a group that a request may go to.
+type Route struct {
+	Group   ring.Group
+	Epoch   ring.Epoch
+	Address string
+	Slots   int
+}
+
+// GroupState is a group as this node sees it.
+type GroupState struct {
+	Record      placement.StoredRecord
+	Reason      Reason
+	Culprit     ring.VM
+	Outstanding int
+	Load        float64
+	Slowness    float64
+}
+
+// Group returns a group as this node sees it.
+func (t *Table) Group(g ring.Group, now time.Time) GroupState {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	r, ok := t.records[g]
+	if !ok {
+		return GroupState{Reason: ReasonNoRecord}
+	}
+	reason, culprit := t.serving(r.Record, now)
+	return GroupState{
+		Record: r, Reason: reason, Culprit: culprit,
+		Outstanding: t.outstanding[g], Load: t.load(g, now), Slowness: t.slownessOf(g),
+	}
+}
+
+// IsServing reports whether the route still holds.
+func (t *Table) IsServing(r Route, now time.Time) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	stored, ok := t.records[r.Group]
+	if !ok || stored.Record.Epoch != r.Epoch {
+		return false
+	}
+	reason, _ := t.serving(stored.Record, now)
+	return reason == ReasonNone
+}
+
+// load estimates the requests at a group: this node's own and those that live
+// peers last told of; mu is held.
+func (t *Table) load(g ring.Group, now time.Time) float64 {
+	load := float64(t.outstanding[g])
+	for _, p := range t.peers {
+		if now.Sub(p.Heard) <= peerSilence {
+			load += float64(p.Outstanding[g])
+		}
+	}
+	return load
+}
+
+// Candidates fills the groups that can serve the target now. The slices are
+// reused; they grow only when there are more groups than ever before.
+func (t *Table) Candidates(target deployment.Target, tried map[ring.Group]bool, now time.Time, c []routing.Candidate, r []Route) ([]routing.Candidate, []Route) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	c, r = c[:0], r[:0]
+	if t.configuration == nil {
+		return c, r
+	}
+	for _, d := range t.configuration.Groups() {
+		stored, ok := t.records[d.Name]
+		if !ok || !target.Serves(stored.Record.Spec) || tried[d.Name] {
+			continue
+		}
+		if reason, _ := t.serving(stored.Record, now); reason != ReasonNone {
+			continue
+		}
+		head, ok := t.configuration.VM(stored.Record.Members[0].VM)
+		if !ok {
+			continue
+		}
+		c = append(c, routing.Candidate{
+			Hash: routing.Hash(string(d.Name)), Load: t.load(d.Name, now),
+			Capacity: routing.Capacity(routing.State{
+				Slots: stored.Record.Slots, Slowness: t.slownessOf(d.Name), ReadyAt: stored.Record.ReadyAt,
+			}, now),
+		})
+		r = append(r, Route{Group: d.Name, Epoch: stored.Record.Epoch, Address: head.Address, Slots: stored.Record.Slots})
+	}
+	return c, r
+}
+
+// Begin counts a request at a group; End takes it off again.
+func (t *Table) Begin(g ring.Group) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outstanding[g]++
+}
+
+// End takes a request off its group and wakes waiting ones.
+func (t *Table) End(g ring.Group) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.outstanding[g]--
+	t.wake()
+}
+
+// Outstanding returns this node's requests by group.
+func (t *Table) Outstanding() map[ring.Group]int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make(map[ring.Group]int, len(t.outstanding))
+	for g, n := range t.outstanding {
+		if n > 0 {
+			out[g] = n
+		}
+	}
+	return out
+}
+
+// VM returns the evidence for a VM and whether it is known to be leaving.
+func (t *Table) VM(vm ring.VM, now time.Time) (Evidence, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.evidence[vm], t.isLeaving(vm, now)
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -9,6 +9,7 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/catalog"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/deployment"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/placement"
@@ -40,7 +41,7 @@
 				n.log.Write(event.WatchEnded, slog.Any("error", err))
 			}
 		}
-		pause(ctx, watchPause)
+		clock.Sleep(ctx, watchPause)
 	}
 }
 
@@ -171,12 +172,3 @@
 	}
 	t.peers[p.Name] = p
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -10,6 +10,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/engine"
 	"eelgrassring.dev/internal/openai"
 )
@@ -179,13 +180,13 @@
 		s.served.Resumed++
 		s.mu.Unlock()
 	}
-	if !sleep(ctx, s.prefill(prompt)) {
+	if !clock.Sleep(ctx, s.prefill(prompt)) {
 		a.cancelled()
 		return
 	}
 	var whole strings.Builder
 	for i := a.offset; i < total; i++ {
-		if i > a.offset && !sleep(ctx, s.config.TokenGap) {
+		if i > a.offset && !clock.Sleep(ctx, s.config.TokenGap) {
 			a.cancelled()
 			return
 		}
@@ -267,14 +268,3 @@
 		f.Flush()
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
