gateway: give tries at a lost group up at once

Ruled out: taking old evidence for a loss; a node that was paused would cancel all its streams. A draining group keeps its streams (test). Also: connections probe an idle path and end when sent bytes are not acknowledged for 3 s. The test of late arrivals needs the store down now, for nodes no longer wait that long.

--- a/cmd/eelgrassd/app.go
+++ b/cmd/eelgrassd/app.go
@@ -119,7 +119,7 @@
 				return err
 			}
 			go ledger.Run(ctx)
-			go g.Scheduler().Run(ctx)
+			go g.Run(ctx)
 			go func() { n.Run(ctx); close(stopped) }()
 			log.Write(event.Started, slog.String("callers", s.Callers), slog.String("version", version))
 			return nil
--- a/internal/fake/member.go
+++ b/internal/fake/member.go
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.cancel, m.life = cancel, ctx
 	go ledger.Run(ctx)
-	go m.Gateway.Scheduler().Run(ctx)
+	go m.Gateway.Run(ctx)
 	go func() {
 		n.Run(ctx)
 		close(m.done)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -80,6 +80,10 @@
 	s := o.server
 	ctx, dog := newWatchdog(ctx, s.config.First)
 	defer dog.stop()
+	if o.record == nil {
+		s.sweeper.add(dog, route)
+		defer s.sweeper.remove(dog)
+	}
 	offset := 0
 	if isFresh && o.query.stream {
 		offset = o.chunks
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"encoding/json"
 	"flag"
+	"net"
 	"net/http/httptest"
 	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -145,3 +147,23 @@
 		is.Equal(canonical(path, "r"), "/signoffs")
 	}
 }
+
+func TestConnectionsNoticeALostPath(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	conn, err := newDialer().Dial("tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	options := map[int]int{syscall.TCP_KEEPIDLE: 2, syscall.TCP_KEEPINTVL: 1, syscall.TCP_KEEPCNT: 3, tcpUserTimeout: 3000}
+	is.NoErr(raw.Control(func(fd uintptr) {
+		for option, want := range options {
+			got, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, option)
+			is.NoErr(err)
+			is.Equal(got, want)
+		}
+	}))
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -20,10 +20,10 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -64,6 +64,7 @@
 	table     *node.Table
 	scheduler *Scheduler
 	budget    *retry.Budget
+	sweeper   *sweeper
 	// kept reuses connections and fresh opens one for each request.
 	kept  http.RoundTripper
 	fresh http.RoundTripper
@@ -71,9 +72,6 @@
 	settling sync.WaitGroup
 }
 
-// dialTimeout bounds the opening of a connection to a backend server.
-const dialTimeout = 500 * time.Millisecond
-
 // New returns a server and names its demand to the node.
 func New(c Config) *Server {
 	s := &Server{
@@ -81,6 +79,7 @@
 		table:     c.Node.Table(),
 		scheduler: NewScheduler(c.Node.Table(), c.Node, c.Queue),
 		budget:    retry.NewBudget(retry.DefaultConfig()),
+		sweeper:   newSweeper(c.Node.Table()),
 		kept:      c.Kept,
 		fresh:     c.Fresh,
 	}
@@ -97,13 +96,19 @@
 // newTransport returns a transport over TCP. One that opens a connection for
 // each request never sends a request a second time by itself.
 func newTransport(first time.Duration, isFresh bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
+		DialContext: newDialer().DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
 		ResponseHeaderTimeout: first, DisableCompression: true, DisableKeepAlives: isFresh,
 	}
 }
 
+// Run starts waiting requests and gives up tries at lost groups until the
+// context ends.
+func (s *Server) Run(ctx context.Context) {
+	go s.sweeper.run(ctx)
+	s.scheduler.Run(ctx)
+}
+
 // Scheduler returns the server's scheduler.
 func (s *Server) Scheduler() *Scheduler { return s.scheduler }
 
--- a/internal/gateway/try.go
+++ b/internal/gateway/try.go
@@ -158,28 +158,6 @@
 	return true
 }
 
-// watchdog cancels a try whose backend server is silent for too long.
-type watchdog struct {
-	timer  *time.Timer
-	cancel context.CancelCauseFunc
-}
-
-var errSilent = errors.New("the backend server was silent for too long")
-
-func newWatchdog(ctx context.Context, span time.Duration) (context.Context, *watchdog) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	w := &watchdog{cancel: cancel}
-	w.timer = time.AfterFunc(span, func() { cancel(errSilent) })
-	return ctx, w
-}
-
-func (w *watchdog) feed(span time.Duration) { w.timer.Reset(span) }
-
-func (w *watchdog) stop() {
-	w.timer.Stop()
-	w.cancel(nil)
-}
-
 // reserve asks the homes of a few groups for a place. A home only advises:
 // after the last refusal, or without an answer, the request goes to the first
 // group that was only busy, for it likely has the prefix, or by this node's
--- /dev/null
+++ b/internal/gateway/watchdog.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"eelgrassring.dev/internal/node"
+)
+
+// sweepInterval is how often tries are looked at for lost groups.
+const sweepInterval = 200 * time.Millisecond
+
+var (
+	errSilent = errors.New("the backend server was silent for too long")
+	errLost   = errors.New("the group was lost")
+)
+
+// watchdog cancels a try whose backend server is silent for too long.
+type watchdog struct {
+	timer  *time.Timer
+	cancel context.CancelCauseFunc
+}
+
+func newWatchdog(ctx context.Context, span time.Duration) (context.Context, *watchdog) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	w := &watchdog{cancel: cancel}
+	w.timer = time.AfterFunc(span, func() { cancel(errSilent) })
+	return ctx, w
+}
+
+func (w *watchdog) feed(span time.Duration) { w.timer.Reset(span) }
+
+func (w *watchdog) stop() {
+	w.timer.Stop()
+	w.cancel(nil)
+}
+
+// sweeper cancels the tries at groups that are known to be lost.
+type sweeper struct {
+	table *node.Table
+
+	mu    sync.Mutex
+	tries map[*watchdog]node.Route
+}
+
+func newSweeper(t *node.Table) *sweeper {
+	return &sweeper{table: t, tries: map[*watchdog]node.Route{}}
+}
+
+func (s *sweeper) add(w *watchdog, r node.Route) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tries[w] = r
+}
+
+func (s *sweeper) remove(w *watchdog) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tries, w)
+}
+
+// run sweeps until the context ends.
+func (s *sweeper) run(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.sweep()
+		}
+	}
+}
+
+func (s *sweeper) sweep() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for w, route := range s.tries {
+		if s.table.IsLost(route) {
+			w.cancel(errLost)
+		}
+	}
+}
--- a/internal/node/serving.go
+++ b/internal/node/serving.go
@@ -108,6 +108,26 @@
 	return reason == ReasonNone
 }
 
+// IsLost reports whether the route's group is known not to finish its
+// requests: its record moved on, or a member reported that it lost its place.
+// Silence alone is no such knowledge, for it may be this node that is cut off
+// or was paused; nor is a drain, in which requests finish.
+func (t *Table) IsLost(r Route) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	stored, ok := t.records[r.Group]
+	if !ok || stored.Record.Epoch > r.Epoch || stored.Record.Phase == placement.PhaseBroken {
+		return true
+	}
+	for _, m := range stored.Record.Members {
+		e, heard := t.evidence[m.VM]
+		if heard && (e.Status.Incarnation != m.Incarnation || e.Status.Epoch > r.Epoch) {
+			return true
+		}
+	}
+	return false
+}
+
 // load estimates the requests at a group: this node's own and those that live
 // peers last told of; mu is held.
 func (t *Table) load(g ring.Group, now time.Time) float64 {
--- a/internal/proof/stream_test.go
+++ b/internal/proof/stream_test.go
@@ -207,3 +207,26 @@
 	out.ContentLength = int64(len(changed))
 	return out
 }
+
+// A try at a group that is known to be lost is given up at once, not when its
+// time limit (10 s here) has passed.
+func TestTryAtLostGroupIsGivenUpEarly(t *testing.T) {
+	inBubble(t, options(document(2, 3, 1, 8), 2), func(is *is.I, s *fake.System) {
+		s.PauseEngine(members(s, "g1")[0].VM)
+		s.PauseEngine(members(s, "g2")[0].VM)
+		r := s.Do(fake.Chat("n1", keyA, "x", 5))
+		isWholeAnswer(is, r, "x", 5)
+		t.Logf("whole after %s", r.Took)
+		is.True(r.Took < 4*time.Second)
+	})
+}
+
+// A draining group keeps its streams.
+func TestStreamsOfDrainingGroupAreNotGivenUp(t *testing.T) {
+	inBubble(t, options(document(1, 3, 1, 5), 1), func(is *is.I, s *fake.System) {
+		time.AfterFunc(time.Second, func() { s.Leave(members(s, "g1")[1].VM, true, true) })
+		r := s.Do(fake.Chat("n1", keyA, "long", 600))
+		isWholeAnswer(is, r, "long", 600)
+		is.Equal(s.History.Requests(), 1)
+	})
+}
--- a/internal/proof/whole_test.go
+++ b/internal/proof/whole_test.go
@@ -159,6 +159,9 @@
 func TestRequestThatArrivesLateAtAnIncompleteGroup(t *testing.T) {
 	inBubble(t, options(document(2, 3, 1, 8), 2), func(is *is.I, s *fake.System) {
 		head, other := members(s, "g1")[0].VM, members(s, "g1")[1].VM
+		for _, name := range s.NodeNames() {
+			s.Node(name).Store.Set(platform.FaultDown)
+		}
 		s.PauseEngine(head)
 		results := make(chan []fake.Result, 1)
 		go func() { results <- traffic(s, 500*time.Millisecond) }()
