--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -42,6 +42,8 @@
 	onFirst func()
 	// gone is set once the caller took no more bytes.
 	gone bool
+	// writeUntil is the deadline of writes that is set.
+	writeUntil time.Time
 }
 
 // mayGoOn reports whether another try may continue the answer.
@@ -160,13 +162,24 @@
 	if o.gone {
 		return
 	}
-	// A caller that stops reading must not hold a slot for good.
-	_ = http.NewResponseController(o.w).SetWriteDeadline(time.Now().Add(o.server.config.Gap))
+	o.limitWrite(time.Now())
 	if _, err := o.w.Write(b); err != nil {
 		o.gone = true
 	}
 }
 
+// limitWrite sets a deadline for writes, so that a caller that stops reading
+// does not hold a slot for good. Setting one costs a timer, so it is moved at
+// most every half of its span.
+func (o *relay) limitWrite(now time.Time) {
+	span := o.server.config.Gap
+	if now.Before(o.writeUntil.Add(-span / 2)) {
+		return
+	}
+	o.writeUntil = now.Add(span)
+	_ = http.NewResponseController(o.w).SetWriteDeadline(o.writeUntil)
+}
+
 // isAbandoned reports whether nobody wants the rest of the answer: the caller
 // is gone, and no claim records it.
 func (o *relay) isAbandoned() bool { return o.gone && o.record == nil }
@@ -269,9 +282,11 @@
 }
 
 func (o *relay) event(data []byte) {
-	o.write([]byte("data: "))
-	o.write(data)
-	o.write([]byte("\n\n"))
+	whole := make([]byte, 0, len(data)+len("data: \n\n"))
+	whole = append(whole, "data: "...)
+	whole = append(whole, data...)
+	whole = append(whole, "\n\n"...)
+	o.write(whole)
 	flush(o.w)
 }
 
