gateway: claim nothing that a backend server did not say

Found by reading the relay as a newcomer, each with a test that failed first: - every 4xx of a backend server reached the caller with Eelgrass-Ran: no, although the server may have run the request; - a stream of tool calls or log probabilities was replayed into the caller's stream, where a chunk that is written anew loses what is not text; such streams end with code 3004 now. Also: the text of a stream grows in place instead of being copied a token.

--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -42,6 +42,16 @@
 	Seed     *int64          `json:"seed"`
 	Messages []wantedMessage `json:"messages"`
 	Prompt   json.RawMessage `json:"prompt"`
+	// Answers to requests with these fields carry more than text.
+	Tools     json.RawMessage `json:"tools"`
+	Functions json.RawMessage `json:"functions"`
+	Logprobs  json.RawMessage `json:"logprobs"`
+}
+
+// isPlain reports whether the answer will be text alone, so that a broken
+// stream can be compared with its replay.
+func (w wanted) isPlain() bool {
+	return w.N <= 1 && len(w.Tools) == 0 && len(w.Functions) == 0 && len(w.Logprobs) == 0
 }
 
 type wantedMessage struct {
@@ -62,7 +72,7 @@
 		return nil, ring.Fail(ring.CodeNotAllowed, "application %s may not use model %q", c.caller.Application.Name, target.Model)
 	}
 	out := &completion{
-		path: r.URL.Path, target: target, stream: body.Stream, spliceable: body.N <= 1,
+		path: r.URL.Path, target: target, stream: body.Stream, spliceable: body.isPlain(),
 		key: affinityKey(body), body: c.body,
 	}
 	if body.Seed == nil {
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -29,7 +29,7 @@
 	began bool
 	// text is what the caller has of the answer, and chunks in how many
 	// pieces it came.
-	text   string
+	text   []byte
 	chunks int
 	// first is the identity of the first try's answer, which all chunks keep.
 	first string
@@ -149,7 +149,7 @@
 		h.Set("Cache-Control", "no-cache")
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		h.Set(headerRan, string(ring.RanNo))
+		// The server did not say that it ran nothing, so neither do we.
 		h.Set(headerShouldRetry, "false")
 	}
 	o.w.WriteHeader(resp.StatusCode)
@@ -232,6 +232,9 @@
 		o.first = c.ID
 	}
 	text := c.Text()
+	if !isPlain(data) {
+		o.query.spliceable = false
+	}
 	if o.seen == len(o.text) && c.ID == o.first {
 		o.take(text)
 		o.event(data)
@@ -239,7 +242,7 @@
 	}
 	repeated := o.text[o.seen:]
 	overlap := min(len(repeated), len(text))
-	if text[:overlap] != repeated[:overlap] {
+	if text[:overlap] != string(repeated[:overlap]) {
 		return &tryError{diverged: true, err: fmt.Errorf("replay gave another text after %d bytes", o.seen)}
 	}
 	o.seen += overlap
@@ -253,11 +256,24 @@
 	return o.rewritten(c, text[overlap:])
 }
 
+// opaque are the fields of a chunk whose content is not compared at a splice.
+var opaque = [][]byte{[]byte(`"tool_calls"`), []byte(`"function_call"`), []byte(`"reasoning`)}
+
+// isPlain reports whether a chunk carries nothing but text.
+func isPlain(data []byte) bool {
+	for _, field := range opaque {
+		if bytes.Contains(data, field) {
+			return false
+		}
+	}
+	return true
+}
+
 func (o *relay) take(text string) {
 	if text == "" {
 		return
 	}
-	o.text += text
+	o.text = append(o.text, text...)
 	o.seen = len(o.text)
 	o.chunks++
 }
--- a/internal/proof/refusal_test.go
+++ b/internal/proof/refusal_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -106,3 +107,38 @@
 		is.Equal(s.History.Requests(), 0)
 	})
 }
+
+// An error of a backend server that does not say itself that it ran nothing
+// must not reach the caller as "not run".
+func TestErrorOfBackendServerIsNotCalledNotRun(t *testing.T) {
+	o := options(document(1, 2, 1, 3), 1)
+	o.Transport = func(inner http.RoundTripper) http.RoundTripper {
+		return roundTrip(func(r *http.Request) (*http.Response, error) {
+			resp, err := inner.RoundTrip(r)
+			if err == nil {
+				resp.StatusCode = http.StatusTooManyRequests // after it has run
+			}
+			return resp, err
+		})
+	}
+	inBubble(t, o, func(is *is.I, s *fake.System) {
+		c := fake.Chat("n1", keyA, "x", 3)
+		c.Body = strings.Replace(c.Body, `"stream":true`, `"stream":false`, 1)
+		r := s.Do(c)
+		is.Equal(r.Status, http.StatusTooManyRequests)
+		is.Equal(r.Header.Get("Eelgrass-Ran"), "")
+	})
+}
+
+// A stream of tool calls cannot be compared by its text, so it is not
+// replayed into the caller's stream.
+func TestStreamOfToolCallsIsNotSpliced(t *testing.T) {
+	inBubble(t, options(document(2, 3, 1, 8), 1), func(is *is.I, s *fake.System) {
+		time.AfterFunc(time.Second, func() { s.CrashEngine(s.VMAt(headAddress(s))) })
+		c := fake.Chat("n1", keyA, "long", 200)
+		c.Body = strings.Replace(c.Body, `{"model"`, `{"tools":[{"type":"function"}],"model"`, 1)
+		r := s.Do(c)
+		is.Equal(number(r), 3004)
+		is.Equal(s.History.Requests(), 1)
+	})
+}
