placement: date a report by when it was asked for

Cause, found by reading the controller as a newcomer: a report that waited in the controller's queue behind a slow write counted from when it was looked at, so a dead member lived on for as long as the writes were slow (TestLateReportIsNoSignOfLife, failed first).

--- a/internal/placement/controller.go
+++ b/internal/placement/controller.go
@@ -60,7 +60,7 @@
 	case Loaded:
 		c.load(e)
 	case Reported:
-		c.report(e.Status, now)
+		c.report(e)
 		return nil
 	case Listed:
 		c.list(e.VMs)
@@ -104,10 +104,13 @@
 	}
 }
 
-func (c *Controller) report(s ring.Status, now time.Time) {
-	v := c.vm(s.VM)
-	v.status = s
-	v.heard = now
+func (c *Controller) report(e Reported) {
+	v := c.vm(e.Status.VM)
+	if v.heard.After(e.Asked) {
+		return
+	}
+	v.status = e.Status
+	v.heard = e.Asked
 }
 
 func (c *Controller) list(vms []ring.ListedVM) {
--- a/internal/placement/controller_test.go
+++ b/internal/placement/controller_test.go
@@ -49,7 +49,7 @@
 	for end := b.now.Add(span); b.now.Before(end); b.now = b.now.Add(100 * time.Millisecond) {
 		for vm, s := range b.status {
 			if b.alive[vm] {
-				b.core.Step(Reported{Status: s}, b.now)
+				b.core.Step(Reported{Status: s, Asked: b.now}, b.now)
 			}
 		}
 		b.perform(b.core.Step(Tick{}, b.now))
@@ -197,3 +197,18 @@
 	is.True(r.Load > 0)
 	is.True(r.Total() <= 3*time.Second)
 }
+
+// Reports that waited behind a slow write do not make a dead member alive.
+func TestLateReportIsNoSignOfLife(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t, declared(deployment.Objective{Downtime: 1}, 3, 2))
+	b.run(2 * time.Second)
+	lost := b.records["g0"].Members[1].VM
+	late := Reported{Status: b.status[lost], Asked: b.now}
+	b.alive[lost] = false
+	for range 30 {
+		b.run(100 * time.Millisecond)
+		b.core.Step(late, b.now)
+	}
+	is.True(!b.records["g0"].Has(lost))
+}
--- a/internal/placement/event.go
+++ b/internal/placement/event.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/deployment"
 )
@@ -25,8 +27,12 @@
 	Group ring.Group
 }
 
-// Reported brings a status that a backend server gave at the time of Step.
-type Reported struct{ Status ring.Status }
+// Reported brings a status that a backend server was asked for at Asked. It
+// may reach the controller late, for one behind a slow write.
+type Reported struct {
+	Status ring.Status
+	Asked  time.Time
+}
 
 // Listed brings the platform's list of VMs.
 type Listed struct{ VMs []ring.ListedVM }
--- a/internal/placement/slopes_test.go
+++ b/internal/placement/slopes_test.go
@@ -40,7 +40,7 @@
 			d.VMs = append(d.VMs, deployment.VM{Name: vm, Address: fmt.Sprintf("127.%d.%d.1:1", 1+n/250, n%250), Zone: "a", Domain: "d", Accelerators: 4, Fencing: "checked"})
 			record.Members = append(record.Members, Member{VM: vm, Incarnation: "i"})
 			loaded.Owners = append(loaded.Owners, Owner{VM: vm, Group: name})
-			c.Step(Reported{Status: ring.Status{VM: vm, Incarnation: "i", Group: name, Epoch: record.Epoch, Phase: ring.BackendReady, Spec: record.Spec}}, now)
+			c.Step(Reported{Status: ring.Status{VM: vm, Incarnation: "i", Group: name, Epoch: record.Epoch, Phase: ring.BackendReady, Spec: record.Spec}, Asked: now}, now)
 		}
 		loaded.Records = append(loaded.Records, StoredRecord{Record: record, Modified: 1})
 	}
