--- a/internal/deployment/configuration.go
+++ b/internal/deployment/configuration.go
@@ -141,9 +141,8 @@
 	return ring.Adapter(fmt.Sprintf("%s@%s", a.Name, a.Version))
 }
 
-// HashKey returns the form in which a bearer key stands in a configuration.
-//
-// Example: the hash never reveals the key, and equal keys give equal hashes.
+// HashKey returns the form in which a bearer key stands in a configuration:
+// the SHA-256 of the key in hexadecimal.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
 	return hex.EncodeToString(sum[:])
--- a/internal/deployment/print.go
+++ b/internal/deployment/print.go
@@ -21,7 +21,7 @@
 	p.line("")
 	p.line("  // Weights of group downtime against stranded accelerators.")
 	p.field("objective", s.Objective)
-	section(p, "vms", "Machines for backend servers, by fabric domain.", s.VMs)
+	section(p, "vms", "Machines for backend servers.", s.VMs)
 	section(p, "models", "Base models with their versions and adapters.", s.Models)
 	section(p, "groups", "Replicas; all VMs of a group share a fabric domain.", s.Groups)
 	section(p, "workspaces", "Customers; a key is the SHA-256 of the bearer key.", s.Workspaces)
--- a/internal/strictjson/strictjson.go
+++ b/internal/strictjson/strictjson.go
@@ -38,8 +38,12 @@
 	Message  string
 }
 
-// Error implements error.
+// Error implements error. A fault of a value that was never text has no
+// position.
 func (f Fault) Error() string {
+	if f.Position == (Position{}) {
+		return fmt.Sprintf("%s: %s", f.Path, f.Message)
+	}
 	return fmt.Sprintf("%s: %s: %s", f.Position, f.Path, f.Message)
 }
 
