--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -1,4 +1,5 @@
-// Package clock waits for time to pass without outliving its caller.
+// Package clock waits for time to pass, and repeats work as it passes, without
+// outliving its caller.
 package clock
 
 import (
@@ -17,3 +18,17 @@
 		return true
 	}
 }
+
+// Every calls do at once and then at intervals until the context ends.
+func Every(ctx context.Context, interval time.Duration, do func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		do(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/deployment/configuration.go
+++ b/internal/deployment/configuration.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -171,7 +172,7 @@
 		return Target{}, false
 	}
 	t := Target{Model: m.Name, Version: version}
-	if pinned && !contains(m.Versions, version) {
+	if pinned && !slices.Contains(m.Versions, version) {
 		return Target{}, false
 	}
 	if !hasAdapter {
@@ -191,7 +192,7 @@
 func (c *Configuration) Names(a Application) []string {
 	var out []string
 	for _, m := range c.document.Models {
-		if !contains(a.Models, m.Name) {
+		if !slices.Contains(a.Models, m.Name) {
 			continue
 		}
 		out = append(out, string(m.Name))
@@ -206,7 +207,7 @@
 
 func (c *Configuration) isLoaded(m ring.Model, a ring.Adapter) bool {
 	for _, g := range c.document.Groups {
-		if g.Model == m && contains(g.Adapters, a) {
+		if g.Model == m && slices.Contains(g.Adapters, a) {
 			return true
 		}
 	}
@@ -221,14 +222,14 @@
 	if t.Version != "" && spec.Version != t.Version {
 		return false
 	}
-	return t.Adapter == "" || contains(spec.Adapters, t.Adapter)
+	return t.Adapter == "" || slices.Contains(spec.Adapters, t.Adapter)
 }
 
 // MayUse reports whether the application may call the model.
-func (a Application) MayUse(m ring.Model) bool { return contains(a.Models, m) }
+func (a Application) MayUse(m ring.Model) bool { return slices.Contains(a.Models, m) }
 
 // MayCall reports whether the application may call the plain service.
-func (a Application) MayCall(s ring.Service) bool { return contains(a.Services, s) }
+func (a Application) MayCall(s ring.Service) bool { return slices.Contains(a.Services, s) }
 
 // IsOnce reports whether a call to the service is non-idempotent.
 func (s Service) IsOnce(method, path string) bool {
@@ -249,12 +250,3 @@
 
 // Span returns the service's time limit for one call.
 func (s Service) Span() time.Duration { return time.Duration(s.Timeout) }
-
-func contains[T comparable](items []T, want T) bool {
-	for _, i := range items {
-		if i == want {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"bytes"
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
@@ -13,6 +11,7 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/golden"
+	"eelgrassring.dev/internal/property"
 )
 
 func TestFaultsAreReportedTogether(t *testing.T) {
@@ -32,16 +31,7 @@
 	golden.Check(t, "faults.golden", out.Bytes())
 }
 
-// TestMain fixes the seed of the property tests, so that every run is alike.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Config{}) }
 
 func drawDocument(t *rapid.T) Document {
 	d := Document{Name: "d", Objective: Objective{Downtime: 1, Stranded: rapid.Float64Range(0, 9).Draw(t, "weight")}}
--- a/internal/deployment/validate.go
+++ b/internal/deployment/validate.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"slices"
 	"strings"
 
 	ring "eelgrassring.dev"
@@ -133,7 +134,7 @@
 		if m.Name != g.Model {
 			continue
 		}
-		if !contains(m.Versions, g.Version) {
+		if !slices.Contains(m.Versions, g.Version) {
 			v.fault(path+"/version", "model %q has no version %q", m.Name, g.Version)
 		}
 		for j, want := range g.Adapters {
--- a/internal/gateway/relay_test.go
+++ b/internal/gateway/relay_test.go
@@ -3,10 +3,8 @@
 import (
 	"bufio"
 	"encoding/json"
-	"flag"
 	"net"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -16,18 +14,10 @@
 	"pgregory.net/rapid"
 
 	"eelgrassring.dev/internal/openai"
+	"eelgrassring.dev/internal/property"
 )
 
-// TestMain fixes the seed of the property tests, so that every run is alike.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Config{}) }
 
 // cut splits text at drawn places.
 func cut(t *rapid.T, label, text string) []string {
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/node"
 )
 
@@ -63,16 +64,7 @@
 
 // run sweeps until the context ends.
 func (s *sweeper) run(ctx context.Context) {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.sweep()
-		}
-	}
+	clock.Every(ctx, sweepInterval, func(context.Context) { s.sweep() })
 }
 
 func (s *sweeper) sweep() {
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -1,8 +1,6 @@
 package limit
 
 import (
-	"flag"
-	"os"
 	"testing"
 	"time"
 
@@ -11,18 +9,10 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/deployment"
+	"eelgrassring.dev/internal/property"
 )
 
-// TestMain fixes the seed of the property tests, so that every run is alike.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Config{}) }
 
 func TestSharesAddUpToTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -46,11 +46,10 @@
 // turn returns how many live nodes try for the controller's lease before this
 // one. All nodes order themselves alike by hashing.
 func (n *Node) turn() int {
-	now := time.Now()
 	own := routing.Hash(catalog.ControllerKey + n.config.Name)
 	before := 0
-	for _, p := range n.table.Peers() {
-		if p.IsLive(now) && !p.Draining && routing.Hash(catalog.ControllerKey+p.Name) < own {
+	for peer := range n.table.liveAddresses(time.Now()) {
+		if routing.Hash(catalog.ControllerKey+peer) < own {
 			before++
 		}
 	}
@@ -150,7 +149,7 @@
 // renew keeps the lease and tells until when it certainly holds, counted from
 // before the renewal was sent.
 func (n *Node) renew(ctx context.Context, lease ring.Lease, renewed chan<- time.Time) {
-	every(ctx, n.config.Timing.Control/4, func(ctx context.Context) {
+	clock.Every(ctx, n.config.Timing.Control/4, func(ctx context.Context) {
 		begin := time.Now()
 		if n.config.Store.Renew(ctx, lease) != nil {
 			return
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -10,6 +10,7 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/catalog"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/event"
 )
 
@@ -17,7 +18,7 @@
 // at the end.
 func (n *Node) runMembership(ctx context.Context) {
 	var lease ring.Lease
-	every(ctx, n.config.Timing.Membership/3, func(ctx context.Context) {
+	clock.Every(ctx, n.config.Timing.Membership/3, func(ctx context.Context) {
 		lease = n.keepMembership(ctx, lease)
 	})
 	if lease == 0 {
@@ -70,7 +71,7 @@
 // so that a silent peer delays no other.
 func (n *Node) runHeartbeats(ctx context.Context) {
 	lost := map[string]bool{}
-	every(ctx, n.config.Timing.Heartbeat, func(ctx context.Context) {
+	clock.Every(ctx, n.config.Timing.Heartbeat, func(ctx context.Context) {
 		self := n.self()
 		n.book.Correct(n.config.Name, self.Outstanding)
 		var wait sync.WaitGroup
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/placement"
 	"eelgrassring.dev/internal/reservation"
@@ -180,30 +181,16 @@
 	return n.control
 }
 
-// every calls do at intervals until the context ends.
-func every(ctx context.Context, interval time.Duration, do func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		do(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-	}
-}
-
 func (n *Node) runPace(ctx context.Context) {
 	known := map[ring.VM]bool{}
-	every(ctx, time.Second, func(context.Context) {
+	clock.Every(ctx, time.Second, func(context.Context) {
 		n.table.RefreshPace()
 		n.noteLeaving(known)
 	})
 }
 
 func (n *Node) runList(ctx context.Context) {
-	every(ctx, n.config.Timing.List, func(ctx context.Context) {
+	clock.Every(ctx, n.config.Timing.List, func(ctx context.Context) {
 		vms, err := n.config.VMList.VMs(ctx)
 		if err != nil {
 			return // The last list stays; backend servers tell themselves that they leave.
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -57,6 +57,20 @@
 	return out
 }
 
+// liveAddresses returns the addresses of the live peers that are not draining,
+// by name.
+func (t *Table) liveAddresses(now time.Time) map[string]string {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make(map[string]string, len(t.peers))
+	for _, p := range t.peers {
+		if p.IsLive(now) && !p.Draining {
+			out[p.Name] = p.Address
+		}
+	}
+	return out
+}
+
 // ForgetPeer removes a peer that has neither a membership nor a heartbeat.
 func (t *Table) ForgetPeer(name string) {
 	t.mu.Lock()
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -24,12 +24,9 @@
 // address or "" when it is this node.
 func (n *Node) home(g ring.Group, now time.Time) (name, address string) {
 	names := []string{n.config.Name}
-	addresses := map[string]string{}
-	for _, p := range n.table.Peers() {
-		if p.IsLive(now) && !p.Draining {
-			names = append(names, p.Name)
-			addresses[p.Name] = p.Address
-		}
+	addresses := n.table.liveAddresses(now)
+	for peer := range addresses {
+		names = append(names, peer)
 	}
 	name = reservation.Home(g, names)
 	return name, addresses[name]
--- a/internal/node/probe.go
+++ b/internal/node/probe.go
@@ -6,6 +6,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/placement"
 )
 
@@ -27,7 +28,7 @@
 	for range probeWorkers {
 		wait.Go(func() { n.probeWorker(ctx, queue, asking) })
 	}
-	every(ctx, n.config.Timing.Probe, func(ctx context.Context) {
+	clock.Every(ctx, n.config.Timing.Probe, func(ctx context.Context) {
 		c, _ := n.table.Configuration()
 		if c == nil {
 			return
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -47,7 +47,7 @@
 
 // runResync lists the state at intervals: a watch may be silent for good.
 func (n *Node) runResync(ctx context.Context) {
-	every(ctx, n.config.Timing.Resync, func(ctx context.Context) {
+	clock.Every(ctx, n.config.Timing.Resync, func(ctx context.Context) {
 		_, err := n.list(ctx)
 		n.noteStore(err == nil)
 	})
--- a/internal/placement/property_test.go
+++ b/internal/placement/property_test.go
@@ -1,9 +1,7 @@
 package placement
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,18 +9,10 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/deployment"
+	"eelgrassring.dev/internal/property"
 )
 
-// TestMain fixes the seed of the property tests, so that every run is alike.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "1000", "rapid.steps": "200"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { property.Main(m, property.Config{Checks: 1000, Steps: 200}) }
 
 // confirmation is a member that was ready under an epoch.
 type confirmation struct {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -19,6 +19,7 @@
 	"github.com/gorilla/mux"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/engine"
 )
 
@@ -116,16 +117,7 @@
 // Watch looks after the members while this server is a head, until the
 // context ends.
 func (s *Server) Watch(ctx context.Context) {
-	ticker := time.NewTicker(memberCheckInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.checkMembers(ctx)
-		}
-	}
+	clock.Every(ctx, memberCheckInterval, s.checkMembers)
 }
 
 func (s *Server) checkMembers(ctx context.Context) {
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/status"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/etcd"
 	pb "eelgrassring.dev/internal/etcd/etcdpb"
 )
@@ -36,16 +37,7 @@
 
 // ExpireUntil expires leases until the context ends.
 func ExpireUntil(ctx context.Context, keys *Keyspace) {
-	ticker := time.NewTicker(expireInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			keys.Expire()
-		}
-	}
+	clock.Every(ctx, expireInterval, func(context.Context) { keys.Expire() })
 }
 
 // before applies the faults that strike a call before its effect.
