--- a/internal/fake/member.go
+++ b/internal/fake/member.go
@@ -112,13 +112,6 @@
 	s.stopNode(name)
 }
 
-// FreezeNode holds all that a node sends to the store and to backend servers,
-// as pauses right before its calls would.
-func (s *System) FreezeNode(name string, on bool) {
-	s.Net.Freeze(name, on)
-	s.Node(name).Store.Freeze(on)
-}
-
 // Node returns a node.
 func (s *System) Node(name string) *Member {
 	s.mu.Lock()
--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -134,14 +134,6 @@
 // process right before each of its calls would.
 func (n *Network) Freeze(process string, on bool) { n.change(func() { n.frozen[process] = on }) }
 
-// IsUp reports whether a host runs and is not paused.
-func (n *Network) IsUp(address string) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	h, ok := n.hosts[address]
-	return ok && h.up && !h.paused
-}
-
 // state returns the host and whether messages pass each way, with a channel
 // that closes at the next change.
 func (n *Network) state(l linkName) (h *host, forth, back bool, changed <-chan struct{}) {
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -38,13 +38,6 @@
 	t.members = names
 }
 
-// MemberCount returns how many nodes hold a membership in the store.
-func (t *Table) MemberCount() int {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	return len(t.members)
-}
-
 // Peers returns all peers by name, also lost ones.
 func (t *Table) Peers() []Peer {
 	t.mu.RLock()
@@ -71,13 +64,6 @@
 	return out
 }
 
-// ForgetPeer removes a peer that has neither a membership nor a heartbeat.
-func (t *Table) ForgetPeer(name string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.peers, name)
-}
-
 // IsLive reports whether the peer was heard of lately.
 func (p Peer) IsLive(now time.Time) bool {
 	return now.Sub(p.Heard) <= peerSilence
--- a/internal/node/places.go
+++ b/internal/node/places.go
@@ -20,21 +20,20 @@
 	noteTimeout = 200 * time.Millisecond
 )
 
-// home returns the home of a group among the live nodes: its name, and its
-// address or "" when it is this node.
-func (n *Node) home(g ring.Group, now time.Time) (name, address string) {
+// home returns the address of a group's home among the live nodes, or "" when
+// it is this node.
+func (n *Node) home(g ring.Group, now time.Time) string {
 	names := []string{n.config.Name}
 	addresses := n.table.liveAddresses(now)
 	for peer := range addresses {
 		names = append(names, peer)
 	}
-	name = reservation.Home(g, names)
-	return name, addresses[name]
+	return addresses[reservation.Home(g, names)]
 }
 
 // Reserve asks the home of the route's group for a place.
 func (n *Node) Reserve(ctx context.Context, r Route) reservation.Answer {
-	_, address := n.home(r.Group, time.Now())
+	address := n.home(r.Group, time.Now())
 	if address == "" {
 		return n.book.Ask(r.Group, n.config.Name, r.Slots)
 	}
@@ -99,7 +98,7 @@
 }
 
 func (n *Node) note(g ring.Group, do func(*Notes)) {
-	_, address := n.home(g, time.Now())
+	address := n.home(g, time.Now())
 	n.outbox.add(address, do)
 }
 
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -219,13 +219,6 @@
 	}
 }
 
-// DropEvidence forgets a backend server that did not answer.
-func (t *Table) DropEvidence(vm ring.VM) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.evidence, vm)
-}
-
 // PutListed takes the platform's list.
 func (t *Table) PutListed(vms []ring.ListedVM) {
 	t.mu.Lock()
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 	"sync/atomic"
-	"time"
 )
 
 // Fault is a declared misbehaviour of the key-value service.
@@ -21,12 +20,10 @@
 	FaultDeafWatch Fault = "deafwatch"
 )
 
-// Faults holds the fault in force and a delay that is added to each call. It
-// may be changed while calls are running.
+// Faults holds the fault in force. It may be changed while calls are running.
 type Faults struct {
 	mu    sync.Mutex
 	fault Fault
-	delay time.Duration
 	calls Calls
 }
 
@@ -45,18 +42,11 @@
 	f.fault = fault
 }
 
-// SetDelay delays each call.
-func (f *Faults) SetDelay(d time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.delay = d
-}
-
 // Calls returns the counters.
 func (f *Faults) Calls() *Calls { return &f.calls }
 
-func (f *Faults) current() (Fault, time.Duration) {
+func (f *Faults) current() Fault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.fault, f.delay
+	return f.fault
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -42,11 +42,7 @@
 
 // before applies the faults that strike a call before its effect.
 func (s *Server) before(ctx context.Context, write bool) error {
-	fault, delay := s.faults.current()
-	if delay > 0 {
-		time.Sleep(delay)
-	}
-	switch fault {
+	switch s.faults.current() {
 	case FaultDown:
 		return status.Error(codes.Unavailable, "service is down")
 	case FaultSilent:
@@ -62,7 +58,7 @@
 
 // after applies the faults that strike a write after its effect.
 func (s *Server) after() error {
-	if fault, _ := s.faults.current(); fault == FaultAmbiguous {
+	if fault := s.faults.current(); fault == FaultAmbiguous {
 		return status.Error(codes.Unavailable, "connection lost")
 	}
 	return nil
@@ -274,7 +270,7 @@
 		from = ring.Revision(s.header().Revision) + 1
 	}
 	err = s.keys.Watch(stream.Context(), string(create.Key), from, func(c ring.Changes) {
-		if fault, _ := s.faults.current(); fault == FaultDeafWatch || fault == FaultSilent {
+		if fault := s.faults.current(); fault == FaultDeafWatch || fault == FaultSilent {
 			return
 		}
 		_ = stream.Send(responseOf(c))
