--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -43,8 +43,10 @@
 	Confirm time.Duration
 	// Resync is how often the registry and the nodes' state are listed.
 	Resync time.Duration
-	// Pause is the least time between two rounds of a watch.
-	Pause time.Duration
+	// Pause is the least time between two rounds of a watch, ControlPause that
+	// of the controller, which acts on what it sees.
+	Pause        time.Duration
+	ControlPause time.Duration
 	// Retry is the pause after a failed call to the store.
 	Retry time.Duration
 	// Grace and Outage: see mirror.Config. Entries that lapsed while the store
@@ -74,9 +76,10 @@
 // DefaultTiming returns the intervals used in production.
 func DefaultTiming() Timing {
 	return Timing{
-		Confirm:        1200 * time.Millisecond,
+		Confirm:        800 * time.Millisecond,
 		Resync:         4 * time.Second,
-		Pause:          100 * time.Millisecond,
+		Pause:          300 * time.Millisecond,
+		ControlPause:   40 * time.Millisecond,
 		Retry:          200 * time.Millisecond,
 		Grace:          2200 * time.Millisecond,
 		Outage:         800 * time.Millisecond,
@@ -158,7 +161,7 @@
 // controller's key.
 func (a *Agent) Drain() {
 	a.draining.Store(true)
-	a.tellSoon()
+	a.TellSoon()
 }
 
 // IsDraining reports whether Drain was called.
@@ -197,11 +200,15 @@
 func (a *Agent) Run(ctx context.Context) {
 	var wait sync.WaitGroup
 	t := a.config.Timing
-	a.routingMirror = a.newMirror(a.config.Directory.RoutingKey(), t.Confirm, 0, a.applyRouting, a.confirm)
+	a.routingMirror = a.newMirror(mirror.Config{
+		Prefix: a.config.Directory.RoutingKey(), Resync: t.Confirm, OnChange: a.applyRouting, OnSync: a.confirm, IsFresh: a.isConfirmed,
+	})
 	wait.Go(func() { a.port.Serve(a.take) })
 	context.AfterFunc(ctx, func() { _ = a.port.Close() })
-	servers := a.newMirror(a.config.Directory.ServerPrefix(), t.Resync, t.Grace, a.applyServer, nil)
-	state := a.newMirror(catalog.StatePrefix, t.Resync, 0, a.applyState, func(clock.Mark) { a.noteListed() })
+	servers := a.newMirror(mirror.Config{Prefix: a.config.Directory.ServerPrefix(), Resync: t.Resync, Grace: t.Grace, OnChange: a.applyServer})
+	state := a.newMirror(mirror.Config{
+		Prefix: catalog.StatePrefix, Resync: t.Resync, OnChange: a.applyState, OnSync: func(clock.Mark) { a.noteListed() },
+	})
 	elector := election.New(election.Config{
 		Store: a.config.Store, Key: catalog.ControllerKey, Name: a.config.Name + "/" + a.config.Incarnation,
 		Span: a.config.Timing.Control, Margin: a.config.Timing.Margin, Renew: a.config.Timing.Renew,
@@ -218,19 +225,31 @@
 	wait.Wait()
 }
 
-func (a *Agent) newMirror(prefix string, resync, grace time.Duration, change func(ring.Change), sync func(clock.Mark)) *mirror.Mirror {
+// newMirror adds what all mirrors of a node share.
+func (a *Agent) newMirror(c mirror.Config) *mirror.Mirror {
 	t := a.config.Timing
-	return mirror.New(mirror.Config{
-		Store: a.config.Store, Prefix: prefix, Resync: resync, Retry: t.Retry, Grace: grace, Outage: t.Outage,
-		Pause: func() time.Duration { return t.Pause }, OnChange: change, OnSync: sync,
-		OnState: func(up bool, err error) {
-			kind := event.StoreBack
-			if !up {
-				kind = event.StoreLost
-			}
-			a.log.Write(kind, slog.String("prefix", prefix), slog.Any("error", err))
-		},
-	})
+	c.Store, c.Retry, c.Outage = a.config.Store, t.Retry, t.Outage
+	c.Pause = func() time.Duration {
+		if a.IsController() {
+			return t.ControlPause
+		}
+		return t.Pause
+	}
+	c.OnState = func(up bool, err error) {
+		kind := event.StoreBack
+		if !up {
+			kind = event.StoreLost
+		}
+		a.log.Write(kind, slog.String("prefix", c.Prefix), slog.Any("error", err))
+	}
+	return mirror.New(c)
+}
+
+// isConfirmed reports whether a peer lately read the configuration that is in
+// force here.
+func (a *Agent) isConfirmed() bool {
+	age, ok := a.ConfirmedAge()
+	return ok && age < a.config.Timing.Confirm
 }
 
 func (a *Agent) applyRouting(c ring.Change) {
@@ -251,7 +270,7 @@
 	}
 	a.routing.Store(route.NewTable(declared))
 	a.log.Write(event.ConfigurationInUse, slog.Int64("number", declared.Number), slog.Int("routes", len(declared.Routes)))
-	a.tellSoon()
+	a.TellSoon()
 }
 
 // confirm takes an own read of the configuration.
--- a/internal/agent/govern.go
+++ b/internal/agent/govern.go
@@ -31,6 +31,9 @@
 			return
 		case e := <-g.events:
 			g.perform(ctx, e.service, g.composer(e.service).Step(e.event, time.Now()))
+			if len(g.events) == 0 && (time.Now().After(actFrom) || a.isUnformed()) {
+				g.look(ctx)
+			}
 		case <-ticker.C:
 			if a.IsDraining() {
 				return
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -91,8 +91,8 @@
 	return lease, nil
 }
 
-// tellSoon asks for a digest now.
-func (a *Agent) tellSoon() {
+// TellSoon asks for a digest now.
+func (a *Agent) TellSoon() {
 	select {
 	case a.kickDigest <- struct{}{}:
 	default:
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -24,7 +24,13 @@
 	// AskAgain is the pause between two questions to the same server, Misses
 	// how many unanswered ones make it dead.
 	AskAgain time.Duration
-	Misses   int
+	// DeadAgain is the pause between two questions to a listed server that was
+	// found dead.
+	DeadAgain time.Duration
+	Misses    int
+	// Settle is how long the set of servers must be the same before the first
+	// replicas are formed.
+	Settle time.Duration
 	// LoadsAtStart is how many loads run at once before there is traffic.
 	LoadsAtStart int
 	// Spares is how many spares a domain keeps before it forms a second
@@ -40,8 +46,10 @@
 		CloseLimit:   1500 * time.Millisecond,
 		StillLimit:   2 * time.Second,
 		AskAgain:     250 * time.Millisecond,
+		DeadAgain:    time.Second,
 		Misses:       2,
-		LoadsAtStart: 10,
+		Settle:       400 * time.Millisecond,
+		LoadsAtStart: 66,
 		Spares:       1,
 	}
 }
@@ -60,21 +68,26 @@
 
 // Composer is the decision core. The zero value is not usable; call New.
 type Composer struct {
-	options  Options
-	epoch    ring.Epoch
-	view     View
-	listed   map[ring.VM]ring.Server
+	options Options
+	epoch   ring.Epoch
+	view    View
+	listed  map[ring.VM]ring.Server
+	// listedAt is when the set of listed servers last changed.
+	listedAt time.Time
 	replicas map[ring.Epoch]*replica
-	servers  map[ring.VM]*serverState
-	loads    loadLimit
-	out      []Action
+	// gone are replicas that this composer knows to be given up; entries of
+	// their members may still name them.
+	gone    map[ring.Epoch]bool
+	servers map[ring.VM]*serverState
+	loads   loadLimit
+	out     []Action
 }
 
 // New returns a composer for one term of the controller.
 func New(c Config) *Composer {
 	return &Composer{
 		options: c.Options, epoch: ring.Epoch(c.Term) * termEpochs,
-		listed: map[ring.VM]ring.Server{}, replicas: map[ring.Epoch]*replica{}, servers: map[ring.VM]*serverState{},
+		listed: map[ring.VM]ring.Server{}, replicas: map[ring.Epoch]*replica{}, gone: map[ring.Epoch]bool{}, servers: map[ring.VM]*serverState{},
 	}
 }
 
@@ -125,8 +138,16 @@
 
 func (c *Composer) see(v View, now time.Time) {
 	c.view = v
+	before := c.listed
 	c.listed = make(map[ring.VM]ring.Server, len(v.Servers))
+	if len(before) != len(v.Servers) {
+		c.listedAt = now
+	}
 	for _, s := range v.Servers {
+		if _, known := before[s.ID]; !known {
+			c.listedAt = now
+			c.server(s.ID).dead = false // A listed server is alive until it fails to answer.
+		}
 		c.listed[s.ID] = s
 		state := c.server(s.ID)
 		if state.incarnation != s.Incarnation {
@@ -152,7 +173,7 @@
 		return
 	}
 	s.misses++
-	if e.Refused || s.misses >= c.options.Misses {
+	if e.Refused || s.misses >= c.options.Misses || c.isStill(e.ID) {
 		if !s.dead {
 			c.note(Note{What: "server found dead", Culprit: e.ID})
 		}
@@ -189,13 +210,28 @@
 		return
 	}
 	c.adopt(now)
+	c.reviveDead(now)
 	for _, r := range c.ordering() {
 		c.follow(r, now)
 	}
+	if !c.view.HasTraffic && now.Before(c.listedAt.Add(c.options.Settle)) {
+		return // More servers may come; a plan for few leaves the rest stranded.
+	}
 	c.form(now)
 	c.standby(now)
 }
 
+// reviveDead asks listed servers that were found dead again: they may only
+// have been cut off.
+func (c *Composer) reviveDead(now time.Time) {
+	for _, s := range c.view.Servers {
+		state := c.server(s.ID)
+		if state.dead && now.After(state.askedAt.Add(c.options.DeadAgain)) {
+			c.ask(s.ID, now)
+		}
+	}
+}
+
 // ordering returns the replicas by epoch.
 func (c *Composer) ordering() []*replica {
 	out := make([]*replica, 0, len(c.replicas))
@@ -229,6 +265,17 @@
 	c.out = append(c.out, Inspect{ID: id, Address: s.last.Address, IsHead: c.isHead(id)})
 }
 
+// isStill reports whether the server is a member of a replica that stands
+// still: with that one unanswered question is enough.
+func (c *Composer) isStill(id ring.VM) bool {
+	for _, r := range c.replicas {
+		if c.view.Still[r.group] > 0 && r.has(id) {
+			return true
+		}
+	}
+	return false
+}
+
 // isHead reports whether the server is the head of a replica that may be open.
 func (c *Composer) isHead(id ring.VM) bool {
 	for _, r := range c.replicas {
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -65,9 +65,11 @@
 }
 
 // isBound reports whether a server that no known replica names may still
-// belong to one: it is a head that is open or closing, or the member of a
-// replica whose head is not listed and was not found dead.
+// serve: it is a head that is open or closing.
 func (c *Composer) isBound(s ring.Server) bool {
+	if c.gone[s.Place.Epoch] {
+		return false
+	}
 	switch s.Place.State {
 	case ring.MemberOpen, ring.MemberClosing:
 		return true
@@ -113,18 +115,26 @@
 // choose returns the best plan, or nil.
 func (c *Composer) choose(free map[ring.Domain][]ring.Server, now time.Time) *plan {
 	open := c.loadsOpen(now)
-	var best *plan
+	var best, quick *plan
 	for _, domain := range domainsOf(free) {
 		for _, m := range c.view.Service.Models {
 			p := c.planOf(m, domain, free[domain])
-			if p == nil || (p.loads > 0 && p.loads > open && open < loadBurst) {
+			if p == nil {
 				continue
 			}
 			if best == nil || p.isBetter(best) {
 				best = p
 			}
+			if p.loads == 0 && (quick == nil || p.isBetter(quick)) {
+				quick = p
+			}
 		}
 	}
+	// A plan that has to wait for its loads holds up only plans with loads:
+	// a smaller replica must not take the servers of a larger one.
+	if best != nil && best.loads > open {
+		return quick
+	}
 	return best
 }
 
@@ -180,9 +190,13 @@
 	return c.weight(m) / float64(n+1)
 }
 
-// weight is a model's part of the replicas. Equal parts: the declared share
-// counts work at a replica's own pace.
-func (c *Composer) weight(ring.ReplicaModel) float64 { return 1 }
+// weight is the time that replicas of the model spend on its part of the work.
+func (c *Composer) weight(m ring.ReplicaModel) float64 {
+	if m.Share <= 0 || m.Pace <= 0 {
+		return 1
+	}
+	return m.Share * m.Pace
+}
 
 // begin starts a planned replica.
 func (c *Composer) begin(p *plan, now time.Time) {
@@ -219,15 +233,34 @@
 		held := map[ring.Model]int{}
 		var idle []ring.Server
 		for _, s := range free[domain] {
-			if isStandby(s.Place.Group) {
-				held[s.Model]++
+			if !isStandby(s.Place.Group) {
+				idle = append(idle, s)
 				continue
 			}
-			idle = append(idle, s)
+			held[s.Model]++
 		}
 		for _, s := range idle {
 			c.standbyOne(s, domain, held, now)
 		}
+		if len(idle) == 0 {
+			c.balance(free[domain], domain, held, now)
+		}
+	}
+}
+
+// balance gives one of several spares that hold the same model another that
+// the domain's replicas use and no spare holds.
+func (c *Composer) balance(spares []ring.Server, domain ring.Domain, held map[ring.Model]int, now time.Time) {
+	for _, m := range c.view.Service.Models {
+		if held[m.Name] > 0 || c.count(m.Name, domain) == 0 {
+			continue
+		}
+		for _, s := range spares {
+			if held[s.Model] > 1 && s.Place.State == ring.MemberReady {
+				c.standbyOne(s, domain, held, now)
+				return
+			}
+		}
 	}
 }
 
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -105,7 +105,7 @@
 func (c *Composer) adopt(now time.Time) {
 	found := map[ring.Epoch][]ring.Server{}
 	for _, s := range c.view.Servers {
-		if s.Place.Group == "" || isStandby(s.Place.Group) || c.replicas[s.Place.Epoch] != nil {
+		if s.Place.Group == "" || isStandby(s.Place.Group) || c.replicas[s.Place.Epoch] != nil || c.gone[s.Place.Epoch] {
 			continue
 		}
 		found[s.Place.Epoch] = append(found[s.Place.Epoch], s)
@@ -188,6 +188,7 @@
 // drop forgets a replica; its members are free.
 func (c *Composer) drop(r *replica, why string, culprit ring.VM, now time.Time) {
 	delete(c.replicas, r.epoch)
+	c.gone[r.epoch] = true
 	c.note(Note{Group: r.group, Epoch: r.epoch, Model: r.model.Name, What: why, Culprit: culprit, Took: now.Sub(r.since)})
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -201,9 +201,9 @@
 		own := 0
 		if flow, ok := f.flow[r.Group]; ok {
 			own = flow.outstanding
-			if flow.stillFor(now) > StillAfter {
-				continue
-			}
+		}
+		if _, still := f.stillEverywhere(r, now); still {
+			continue
 		}
 		out = append(out, Candidate{Replica: r, Own: own, Load: own + f.peerLoad(r.Epoch, now)})
 	}
--- a/internal/fleet/flow.go
+++ b/internal/fleet/flow.go
@@ -13,6 +13,9 @@
 	// firstWithin is how long a replica may take to the first event of a
 	// request while none of its other streams has an event.
 	firstWithin = 900 * time.Millisecond
+	// suspicionSpan is how long a replica that stood still gets no requests of
+	// this node, unless an event shows that it works.
+	suspicionSpan = 3 * time.Second
 )
 
 // flow is the state of one replica's streams at this node.
@@ -20,6 +23,9 @@
 	// outstanding counts requests, streaming those that had an event.
 	outstanding int
 	streaming   int
+	// suspected is when a request was given up because nothing came; it counts
+	// until the next event.
+	suspected time.Time
 	// last is the last event of any stream, or the start of the first request
 	// after none was there.
 	last time.Time
@@ -28,6 +34,9 @@
 // stillFor returns how long the replica has had no event beyond what is usual;
 // it is 0 while nothing is expected.
 func (w *flow) stillFor(now time.Time) time.Duration {
+	if !w.suspected.IsZero() && now.Sub(w.suspected) < suspicionSpan {
+		return now.Sub(w.last)
+	}
 	if w.outstanding == 0 {
 		return 0
 	}
@@ -63,6 +72,7 @@
 		return
 	}
 	w.last = now
+	w.suspected = time.Time{}
 	if first {
 		w.streaming++
 	}
@@ -83,6 +93,20 @@
 	f.wake()
 }
 
+// Suspect notes that a request was given up because its replica stood still. It
+// reports whether that is news.
+func (f *Fleet) Suspect(g ring.Group, now time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, ok := f.flow[g]
+	if !ok || w.stillFor(now) <= StillAfter {
+		return false
+	}
+	isNews := w.suspected.IsZero()
+	w.suspected = now
+	return isNews
+}
+
 // StillFor returns how long the replica's streams at this node have stood
 // still.
 func (f *Fleet) StillFor(g ring.Group, now time.Time) time.Duration {
@@ -102,12 +126,17 @@
 	loads, still := map[ring.Epoch]int{}, map[ring.Epoch]time.Duration{}
 	for _, r := range f.replicas {
 		w, ok := f.flow[r.Group]
-		if !ok || w.outstanding == 0 {
+		if !ok {
 			continue
 		}
-		loads[r.Epoch] = w.outstanding
-		if span := w.stillFor(now); span > StillAfter {
+		if w.outstanding > 0 {
+			loads[r.Epoch] = w.outstanding
+		}
+		switch span := w.stillFor(now); {
+		case span > StillAfter:
 			still[r.Epoch] = span
+		case w.outstanding > 0 && w.streaming == 0:
+			still[r.Epoch] = 0 // No event yet says nothing against its peers' word.
 		}
 	}
 	return loads, still
@@ -130,24 +159,24 @@
 // stillEverywhere is called with mu held.
 func (f *Fleet) stillEverywhere(r Replica, now time.Time) (time.Duration, bool) {
 	var longest time.Duration
-	if w, ok := f.flow[r.Group]; ok && w.outstanding > 0 {
+	if w, ok := f.flow[r.Group]; ok {
 		span := w.stillFor(now)
-		if span <= StillAfter {
+		if span <= StillAfter && w.streaming > 0 {
 			return 0, false
 		}
 		longest = span
 	}
 	for _, p := range f.peers {
-		if now.Sub(p.heard) > peerSilence || p.loads[r.Epoch] == 0 {
+		if now.Sub(p.heard) > peerSilence {
 			continue
 		}
 		span, still := p.still[r.Epoch]
-		if !still {
+		if !still && p.loads[r.Epoch] > 0 {
 			return 0, false
 		}
 		longest = max(longest, span)
 	}
-	return longest, longest > 0
+	return longest, longest > StillAfter
 }
 
 // Traffic returns the requests of all nodes by model.
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -40,6 +40,8 @@
 	IsDraining() bool
 	// Nodes is how many nodes share the budget of retries.
 	Nodes() int
+	// TellSoon tells the peers what this node knows without delay.
+	TellSoon()
 }
 
 // FrontConfig configures a Front. RetryPart and RetryBurst bound the retries
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -129,6 +129,13 @@
 	done  bool
 }
 
+// suspect tells the peers at once when a replica is first seen to stand still.
+func (f *Front) suspect(g ring.Group) {
+	if f.config.Fleet.Suspect(g, time.Now()) {
+		f.config.Node.TellSoon()
+	}
+}
+
 func (f *Front) guard(x *exchange, g ring.Group) *guard {
 	out := &guard{}
 	out.mu.Lock()
@@ -140,6 +147,7 @@
 		case out.done:
 		case f.config.Fleet.StillFor(g, time.Now()) > fleet.StillAfter:
 			out.still = true
+			f.suspect(g)
 			x.abort()
 		default:
 			out.timer.Reset(stillCheck)
@@ -210,6 +218,7 @@
 				return
 			case <-ticker.C:
 				if f.config.Fleet.StillFor(chosen.Group, time.Now()) > fleet.StillAfter {
+					f.suspect(chosen.Group)
 					cancel(errStill)
 					return
 				}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -41,6 +41,9 @@
 	// OnSync hears of each whole listing, with the moment before it was asked
 	// for: no change before that moment is missing.
 	OnSync func(begun clock.Mark)
+	// IsFresh reports whether a periodic listing can be left out, because others
+	// told its result; nil means never.
+	IsFresh func() bool
 }
 
 // Mirror follows one prefix.
@@ -87,9 +90,12 @@
 		case <-ctx.Done():
 			return
 		case <-timer.C:
+			if m.config.IsFresh == nil || !m.config.IsFresh() {
+				m.sync(ctx)
+			}
 		case <-m.kick:
+			m.sync(ctx)
 		}
-		m.sync(ctx)
 		timer.Reset(m.config.Resync)
 	}
 }
