composition: a head that is not listed is released before its members move

Now a head without an entry is told to close and leave; a refused connection is no death while its streams go on; members of an unlisted head that the controller never saw leave, and are free when the head must have broken.

--- a/internal/agent/govern.go
+++ b/internal/agent/govern.go
@@ -101,7 +101,7 @@
 			continue
 		}
 		view := composition.View{
-			Servers: g.agent.fleet.Servers(service.Name), Service: service, Still: still, Load: load, HasTraffic: g.hasTraffic,
+			Servers: g.agent.fleet.Servers(service.Name), Service: service, Still: still, Flowing: g.agent.fleet.Flowing(now), Load: load, HasTraffic: g.hasTraffic,
 		}
 		g.perform(ctx, service.Name, g.composer(service.Name).Step(composition.Viewed{View: view}, now))
 	}
@@ -160,6 +160,24 @@
 		reach = g.agent.inspectWide
 	}
 	s, err := reach(ctx, a.Address)
-	g.agent.log.Write(event.ServerAsked, slog.String("vm", string(a.ID)), slog.Bool("answered", err == nil), slog.Any("error", err))
-	g.tell(service, composition.Inspected{ID: a.ID, Answered: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED), Server: s})
+	leaving := false
+	if err == nil && a.WithHealth {
+		leaving = g.isLeaving(ctx, service, a)
+	}
+	g.agent.log.Write(event.ServerAsked, slog.String("vm", string(a.ID)), slog.Bool("answered", err == nil), slog.Bool("leaving", leaving), slog.Any("error", err))
+	g.tell(service, composition.Inspected{ID: a.ID, Answered: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED), Leaving: leaving, Server: s})
+}
+
+// isLeaving asks for a server's health; a question without an answer says
+// nothing.
+func (g *governor) isLeaving(ctx context.Context, name ring.Service, a composition.Inspect) bool {
+	service, ok := g.agent.Routing().Service(name)
+	if !ok || service.HealthPath == "" {
+		return false
+	}
+	leaving, err := g.agent.config.Control.IsLeaving(ctx, a.Address, service.HealthPath)
+	if err != nil {
+		g.agent.log.Write(event.ServerAsked, slog.String("vm", string(a.ID)), slog.String("question", "health"), slog.Any("error", err))
+	}
+	return leaving
 }
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -33,6 +33,10 @@
 	Settle time.Duration
 	// LoadsAtStart is how many loads run at once before there is traffic.
 	LoadsAtStart int
+	// Return is how long an entry that lapsed may take to come back, Stall how
+	// long a head that lost a member may go on.
+	Return time.Duration
+	Stall  time.Duration
 	// Spares is how many spares a domain keeps before it forms a second
 	// replica of a model.
 	Spares int
@@ -50,6 +54,8 @@
 		Misses:       2,
 		Settle:       400 * time.Millisecond,
 		LoadsAtStart: 66,
+		Return:       2500 * time.Millisecond,
+		Stall:        6500 * time.Millisecond,
 		Spares:       1,
 	}
 }
@@ -77,7 +83,10 @@
 	replicas map[ring.Epoch]*replica
 	// gone are replicas that this composer knows to be given up; entries of
 	// their members may still name them.
-	gone    map[ring.Epoch]bool
+	gone map[ring.Epoch]bool
+	// partial are replicas of another controller with members that are not
+	// listed, by when they were first seen so.
+	partial map[ring.Epoch]time.Time
 	servers map[ring.VM]*serverState
 	loads   loadLimit
 	out     []Action
@@ -87,7 +96,7 @@
 func New(c Config) *Composer {
 	return &Composer{
 		options: c.Options, epoch: ring.Epoch(c.Term) * termEpochs,
-		listed: map[ring.VM]ring.Server{}, replicas: map[ring.Epoch]*replica{}, gone: map[ring.Epoch]bool{}, servers: map[ring.VM]*serverState{},
+		listed: map[ring.VM]ring.Server{}, replicas: map[ring.Epoch]*replica{}, gone: map[ring.Epoch]bool{}, partial: map[ring.Epoch]time.Time{}, servers: map[ring.VM]*serverState{},
 	}
 }
 
@@ -102,6 +111,8 @@
 	// answered is when the server last answered a question.
 	answered time.Time
 	dead     bool
+	// leaving is set when the server said that it is about to end.
+	leaving bool
 	// orders are those that wait for their effect.
 	ordered   ring.Epoch
 	orderKind ring.OrderKind
@@ -165,7 +176,7 @@
 	s := c.server(e.ID)
 	s.asking = false
 	if e.Answered {
-		s.misses, s.dead, s.answered = 0, false, now
+		s.misses, s.dead, s.answered, s.leaving = 0, false, now, e.Leaving
 		if e.Server.Incarnation != "" && e.Server.Incarnation != s.incarnation {
 			// The process at the address is another one.
 			s.dead = true
@@ -173,6 +184,10 @@
 		return
 	}
 	s.misses++
+	if c.isFlowing(e.ID) {
+		// It ended listening, or only this node cannot reach it; it still serves.
+		return
+	}
 	if e.Refused || s.misses >= c.options.Misses || c.isStill(e.ID) {
 		if !s.dead {
 			c.note(Note{What: "server found dead", Culprit: e.ID})
@@ -262,14 +277,29 @@
 	}
 	s.asking = true
 	s.askedAt = now
-	c.out = append(c.out, Inspect{ID: id, Address: s.last.Address, IsHead: c.isHead(id)})
+	c.out = append(c.out, Inspect{ID: id, Address: s.last.Address, IsHead: c.isHead(id), WithHealth: !c.isListed(id)})
+}
+
+func (c *Composer) isListed(id ring.VM) bool {
+	_, listed := c.listed[id]
+	return listed
+}
+
+// isFlowing reports whether the server heads a replica whose streams go on.
+func (c *Composer) isFlowing(id ring.VM) bool {
+	for _, r := range c.replicas {
+		if r.head().id == id && c.view.Flowing[r.epoch] {
+			return true
+		}
+	}
+	return false
 }
 
 // isStill reports whether the server is a member of a replica that stands
 // still: with that one unanswered question is enough.
 func (c *Composer) isStill(id ring.VM) bool {
 	for _, r := range c.replicas {
-		if c.view.Still[r.group] > 0 && r.has(id) {
+		if c.view.Still[r.epoch] > 0 && r.has(id) {
 			return true
 		}
 	}
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -36,7 +36,9 @@
 	Service ring.RoutedService
 	// Still tells for how long the streams of a replica have stood still at
 	// all nodes.
-	Still map[ring.Group]time.Duration
+	Still map[ring.Epoch]time.Duration
+	// Flowing are the replicas whose streams have had events lately at some node.
+	Flowing map[ring.Epoch]bool
 	// Load is the number of requests by model; HasTraffic is set once there
 	// has been any.
 	Load       map[ring.Model]int
@@ -55,7 +57,9 @@
 	ID       ring.VM
 	Answered bool
 	Refused  bool
-	Server   ring.Server
+	// Leaving is set when the server answered that it is about to end.
+	Leaving bool
+	Server  ring.Server
 }
 
 // Ordered tells how an order ended. Outcome says what the server answered.
@@ -97,6 +101,9 @@
 	// IsHead asks for the peers' help: a head that only this node cannot reach
 	// still serves.
 	IsHead bool
+	// WithHealth asks also whether the server is leaving: some leave without
+	// saying so in the registry.
+	WithHealth bool
 }
 
 // Note tells of a decision, for the log.
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -65,16 +65,16 @@
 }
 
 // isBound reports whether a server that no known replica names may still
-// serve: it is a head that is open or closing.
+// belong to one: it is a head that is open or closing, or the member of a
+// replica that is partly listed.
 func (c *Composer) isBound(s ring.Server) bool {
 	if c.gone[s.Place.Epoch] {
 		return false
 	}
-	switch s.Place.State {
-	case ring.MemberOpen, ring.MemberClosing:
+	if _, partial := c.partial[s.Place.Epoch]; partial {
 		return true
 	}
-	return false
+	return s.Place.State == ring.MemberOpen || s.Place.State == ring.MemberClosing
 }
 
 // joinTime is how long the server takes to be ready under a new epoch.
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -88,6 +88,8 @@
 	switch {
 	case state.dead:
 		return standingLost
+	case !listed && state.leaving:
+		return standingLeaving
 	case !listed:
 		return standingAbsent
 	case s.Incarnation != m.incarnation || s.Place.Epoch > r.epoch:
@@ -134,8 +136,18 @@
 	r.members = inRank(servers)
 	isWhole := len(r.members) == model.Size && head.ID != ""
 	switch {
+	case isWhole:
+		delete(c.partial, epoch)
+	case head.ID != "" && !isHeadLive:
+		c.gone[epoch] = true // It never opened, or is closed: nobody serves.
+		return
+	case !c.isOverdue(epoch, now):
+		return
+	}
+	switch {
 	case head.ID == "":
-		return // No head is listed; follow-ups come with its entry.
+		c.orphan(epoch, servers, now)
+		return
 	case isHeadLive && isWhole && head.Place.State == ring.MemberOpen:
 		r.phase = phaseOpen
 	case isHeadLive:
@@ -143,12 +155,38 @@
 	case isWhole && head.Place.State != ring.MemberBroken:
 		r.phase = phaseForming
 	default:
+		c.gone[epoch] = true
 		return
 	}
 	c.replicas[epoch] = r
 	c.note(Note{Group: r.group, Epoch: epoch, Model: model.Name, What: "adopted as " + string(r.phase)})
 }
 
+// isOverdue reports whether the missing members of a replica have had the time
+// to come back.
+func (c *Composer) isOverdue(epoch ring.Epoch, now time.Time) bool {
+	since, seen := c.partial[epoch]
+	if !seen {
+		c.partial[epoch] = now
+		return false
+	}
+	return now.After(since.Add(c.options.Return))
+}
+
+// orphan frees members whose head is not listed and that this composer never
+// saw: the head may be open, cut off from the store. They leave, so that it
+// breaks, and are free once it must have.
+func (c *Composer) orphan(epoch ring.Epoch, servers []ring.Server, now time.Time) {
+	if now.After(c.partial[epoch].Add(c.options.Return + c.options.Stall)) {
+		c.gone[epoch] = true
+		c.note(Note{Group: servers[0].Place.Group, Epoch: epoch, Model: modelOf(servers), What: "members without a head are free"})
+		return
+	}
+	for _, s := range servers {
+		c.send(s.ID, ring.ReplicaOrder{Kind: ring.OrderLeave, Group: s.Place.Group, Epoch: epoch}, now)
+	}
+}
+
 func modelOf(servers []ring.Server) ring.Model {
 	for _, s := range servers {
 		if s.Model != "" {
@@ -238,7 +276,7 @@
 	if c.worsened(r, now) {
 		return
 	}
-	if still := c.view.Still[r.group]; still > 0 {
+	if still := c.view.Still[r.epoch]; still > 0 {
 		for _, m := range r.members {
 			c.ask(m.id, now)
 		}
@@ -260,10 +298,10 @@
 	case standingLost, standingAway:
 		c.drop(r, "head lost", head.id, now)
 		return true
-	case standingAbsent:
-		// Cut off from the store it may still be open: only its death, or its
-		// own word, frees the members.
-		c.ask(head.id, now)
+	case standingAbsent, standingLeaving:
+		// It gets no more requests, but may still be open: only its death, or
+		// its own word, frees the members.
+		c.release(r, true, "head not listed or leaving", head.id, now)
 		return true
 	}
 	if c.listed[head.id].Place.State == ring.MemberBroken {
@@ -301,6 +339,10 @@
 		return
 	case standingAbsent:
 		c.ask(head.id, now)
+	case standingLeaving:
+		if !c.isListed(head.id) {
+			c.ask(head.id, now)
+		}
 	default:
 		state := c.listed[head.id].Place.State
 		// A head that finished its requests is ready again, and free.
--- a/internal/fleet/flow.go
+++ b/internal/fleet/flow.go
@@ -13,6 +13,9 @@
 	// firstWithin is how long a replica may take to the first event of a
 	// request while none of its other streams has an event.
 	firstWithin = 900 * time.Millisecond
+	// flowingSilence is the age from which a peer's word that streams go on no
+	// longer counts.
+	flowingSilence = 600 * time.Millisecond
 	// suspicionSpan is how long a replica that stood still gets no requests of
 	// this node, unless an event shows that it works.
 	suspicionSpan = 3 * time.Second
@@ -20,6 +23,7 @@
 
 // flow is the state of one replica's streams at this node.
 type flow struct {
+	epoch ring.Epoch
 	// outstanding counts requests, streaming those that had an event.
 	outstanding int
 	streaming   int
@@ -48,13 +52,13 @@
 }
 
 // Begin counts a request that is sent to a replica.
-func (f *Fleet) Begin(g ring.Group, now time.Time) {
+func (f *Fleet) Begin(r Replica, now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w, ok := f.flow[g]
+	w, ok := f.flow[r.Group]
 	if !ok {
-		w = &flow{}
-		f.flow[g] = w
+		w = &flow{epoch: r.Epoch}
+		f.flow[r.Group] = w
 	}
 	if w.outstanding == 0 {
 		w.last = now
@@ -119,38 +123,59 @@
 }
 
 // Own returns this node's loads, and the replicas whose streams stand still,
-// for its peers.
+// for its peers. A span of 0 says that this node has requests but no event yet,
+// which speaks neither for the replica nor against it.
 func (f *Fleet) Own(now time.Time) (map[ring.Epoch]int, map[ring.Epoch]time.Duration) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
 	loads, still := map[ring.Epoch]int{}, map[ring.Epoch]time.Duration{}
-	for _, r := range f.replicas {
-		w, ok := f.flow[r.Group]
-		if !ok {
-			continue
-		}
+	for _, w := range f.flow {
 		if w.outstanding > 0 {
-			loads[r.Epoch] = w.outstanding
+			loads[w.epoch] = w.outstanding
 		}
 		switch span := w.stillFor(now); {
 		case span > StillAfter:
-			still[r.Epoch] = span
+			still[w.epoch] = span
 		case w.outstanding > 0 && w.streaming == 0:
-			still[r.Epoch] = 0 // No event yet says nothing against its peers' word.
+			still[w.epoch] = 0
 		}
 	}
 	return loads, still
 }
 
-// Still returns the replicas that stand still at every node that has requests
+// Still returns the replicas that stand still at every node that has streams
 // there, and for how long.
-func (f *Fleet) Still(now time.Time) map[ring.Group]time.Duration {
+func (f *Fleet) Still(now time.Time) map[ring.Epoch]time.Duration {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	out := map[ring.Group]time.Duration{}
+	out := map[ring.Epoch]time.Duration{}
 	for _, r := range f.replicas {
 		if span, ok := f.stillEverywhere(r, now); ok {
-			out[r.Group] = span
+			out[r.Epoch] = span
+		}
+	}
+	return out
+}
+
+// Flowing returns the replicas whose streams have had events lately, at this
+// node or a peer.
+func (f *Fleet) Flowing(now time.Time) map[ring.Epoch]bool {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	out := map[ring.Epoch]bool{}
+	for _, w := range f.flow {
+		if w.streaming > 0 && now.Sub(w.last) <= StillAfter {
+			out[w.epoch] = true
+		}
+	}
+	for _, p := range f.peers {
+		if now.Sub(p.heard) > flowingSilence {
+			continue
+		}
+		for e := range p.loads {
+			if _, still := p.still[e]; !still {
+				out[e] = true
+			}
 		}
 	}
 	return out
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -43,7 +43,7 @@
 		now := time.Now()
 		candidates := l.fleet.Candidates(v.service.Name, v.header.Model, passed, now)
 		if r, ok := choose(candidates, v.service.Slots); ok {
-			l.fleet.Begin(r.Group, now)
+			l.fleet.Begin(r, now)
 			v.queued += now.Sub(begin)
 			return r, nil
 		}
--- a/route.go
+++ b/route.go
@@ -92,6 +92,8 @@
 type RoutedService struct {
 	Name        Service
 	Connections int
+	// HealthPath is where a server tells whether it is healthy.
+	HealthPath string
 	// Models is empty for a plain service.
 	Models []ReplicaModel
 	Rates  EngineRates
--- a/server.go
+++ b/server.go
@@ -99,5 +99,8 @@
 // Order asks mayAct and gives up when it reports false.
 type ReplicaControl interface {
 	Inspect(ctx context.Context, address string) (Server, error)
+	// IsLeaving asks for a server's health: one that runs but is not healthy is
+	// about to end.
+	IsLeaving(ctx context.Context, address, healthPath string) (bool, error)
 	Order(ctx context.Context, address string, order ReplicaOrder, mayAct func() bool) error
 }
