gateway: a call waits only where it can still be in time

Cause: a call waited half its objective for a place and was late by then; a replica that opened got the prompts of all waiting calls at once (first token p75 577 ms at loads of 0 to 2). Now the time of a first token beyond reading is learnt, a place must offer an answer within the objective, and calls that are late anyway take spare room.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -52,6 +52,8 @@
 	// reading is until when a replica reads the prompts that it was sent, by
 	// this node's and its peers' count.
 	reading map[ring.Epoch]time.Time
+	// firsts are the times to a first event by model, less the reading.
+	firsts  map[ring.Model]time.Duration
 	changed chan struct{}
 	// paused are the replicas that get no new requests until the time.
 	paused map[ring.Group]time.Time
@@ -72,6 +74,7 @@
 		peers:     map[string]peerLoads{},
 		paused:    map[ring.Group]time.Time{},
 		reading:   map[ring.Epoch]time.Time{},
+		firsts:    map[ring.Model]time.Duration{},
 		changed:   make(chan struct{}),
 	}
 }
--- a/internal/fleet/flow.go
+++ b/internal/fleet/flow.go
@@ -13,6 +13,12 @@
 	// firstWithin is how long a replica may take to the first event of a
 	// request while none of its other streams has an event.
 	firstWithin = 900 * time.Millisecond
+	// defaultFirst is the time to a first event beyond the reading of prompts
+	// before any was measured; firstWeight is the weight of a new sample, and
+	// maxFirst bounds one, so that a replica that stood still does not count.
+	defaultFirst = 150 * time.Millisecond
+	firstWeight  = 0.05
+	maxFirst     = 400 * time.Millisecond
 	// flowingSilence is the age from which a peer's word that streams go on no
 	// longer counts.
 	flowingSilence = 600 * time.Millisecond
@@ -78,6 +84,27 @@
 	f.reading[e] = until.Add(read)
 }
 
+// ObserveFirst takes how long a first event took beyond the reading of prompts.
+func (f *Fleet) ObserveFirst(m ring.Model, extra time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	old, known := f.firsts[m]
+	if !known {
+		old = defaultFirst
+	}
+	f.firsts[m] = old + time.Duration(firstWeight*float64(min(extra, maxFirst)-old))
+}
+
+// First returns how long a first event takes beyond the reading of prompts.
+func (f *Fleet) First(m ring.Model) time.Duration {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if first, known := f.firsts[m]; known {
+		return first
+	}
+	return defaultFirst
+}
+
 // Notice counts the reading of a prompt that a peer sent to a replica.
 func (f *Fleet) Notice(e ring.Epoch, read time.Duration, now time.Time) {
 	f.mu.Lock()
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -104,11 +104,14 @@
 	first  time.Duration
 	queued time.Duration
 	// load is the number of requests at the replica when the call was sent.
-	load   int
-	to     string
-	status int
-	code   ring.Code
-	note   string
+	load int
+	// expected is how long the replica was expected to read the prompts that it
+	// had, and the call's own.
+	expected time.Duration
+	to       string
+	status   int
+	code     ring.Code
+	note     string
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -11,8 +11,20 @@
 )
 
 const (
-	// waitPart is the part of the objective that a call may wait for a place.
-	waitPart = 0.5
+	// pollInterval is how often a waiting call looks again: reading goes on
+	// without news.
+	pollInterval = 10 * time.Millisecond
+	// lateWait is how long a call that cannot be in time any more waits for
+	// room; lateSpare is how many places of a replica it leaves free, and
+	// lateReading the longest reading it goes behind.
+	lateWait    = 600 * time.Millisecond
+	lateSpare   = 2
+	lateReading = 60 * time.Millisecond
+	// objectiveSlack lets a call go to a place that may be a little late.
+	objectiveSlack = 30 * time.Millisecond
+	// overloadRetry is the least time after which a refused call may come back;
+	// calls come back spread over as long again.
+	overloadRetry = 700 * time.Millisecond
 	// noticeFrom is the least time of reading that peers are told of at once;
 	// shorter ones hardly delay others.
 	noticeFrom = 8 * time.Millisecond
@@ -42,32 +54,30 @@
 	return 0
 }
 
-// acquire chooses a replica and counts the call there. It waits a part of the
-// objective for one with a free place; a stream that began may wait longer.
+// acquire chooses a replica and counts the call there. A call that can still be
+// answered within its objective waits for a place where it will be; after that,
+// or for a call that comes back too late for it, only places that nobody else
+// needs are taken.
 func (l *line) acquire(ctx context.Context, v *visit, passed map[ring.Group]bool, began bool) (fleet.Replica, *ring.Failure) {
 	begin := time.Now()
-	span := time.Duration(waitPart * float64(v.route.Objective))
-	if v.tries > 0 {
-		span = time.Until(v.deadline) - resumeMargin
-	}
-	until := begin.Add(span)
-	if until.After(v.deadline) {
-		until = v.deadline
-	}
+	read := l.readTime(v)
+	until := l.waitUntil(v, read, begin, began)
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
 	for {
 		changed := l.fleet.Changed()
 		now := time.Now()
 		candidates := l.fleet.Candidates(v.service.Name, v.header.Model, passed, now)
-		if c, ok := choose(candidates, v.service.Slots); ok {
-			read := l.readTime(v)
+		limit := l.limitOf(v, read, now, began)
+		if c, ok := choose(candidates, limit); ok {
 			l.fleet.Begin(c.Replica, read, now)
 			if read >= noticeFrom {
 				l.node.Notice(c.Replica.Epoch, read)
 			}
 			v.queued += now.Sub(begin)
-			v.load = c.Load
+			v.load, v.expected = c.Load, c.Reading+read
 			return c.Replica, nil
 		}
 		select {
@@ -75,20 +85,70 @@
 			return fleet.Replica{}, ring.Fail(ring.CodeDeadline, "the caller went away")
 		case <-timer.C:
 			v.queued += time.Since(begin)
-			if len(candidates) == 0 {
-				return fleet.Replica{}, ring.FailUntil(ring.CodeNoGroup, time.Now().Add(busyRetry), "no replica serves model %q now", v.header.Model)
-			}
-			return fleet.Replica{}, ring.FailUntil(ring.CodeOverloaded, time.Now().Add(busyRetry), "all replicas of model %q are full", v.header.Model)
+			return fleet.Replica{}, l.refusal(v, len(candidates))
 		case <-changed:
+		case <-poll.C:
 		}
 	}
 }
 
-// choose returns the replica that will answer soonest, if one has a free place.
-func choose(candidates []fleet.Candidate, slots int) (fleet.Candidate, bool) {
+// isLate reports whether the call cannot be answered within its objective any
+// more: its caller comes back after a refusal, or it has waited too long.
+func (l *line) isLate(v *visit, read time.Duration, now time.Time) bool {
+	if patience := v.header.Patience; patience > 0 && patience < v.route.Timeout-v.route.Objective {
+		return true
+	}
+	return now.Add(l.fleet.First(v.header.Model) + read).After(v.begin.Add(v.route.Objective))
+}
+
+// waitUntil returns how long the call may wait for a place.
+func (l *line) waitUntil(v *visit, read time.Duration, now time.Time, began bool) time.Time {
+	until := v.begin.Add(v.route.Objective - l.fleet.First(v.header.Model) - read)
+	switch {
+	case began || v.tries > 0:
+		until = v.deadline.Add(-resumeMargin)
+	case l.isLate(v, read, now):
+		until = now.Add(lateWait)
+	}
+	if until.After(v.deadline) {
+		return v.deadline
+	}
+	return until
+}
+
+// placeLimit is what a place must offer to a call.
+type placeLimit struct {
+	load    int
+	reading time.Duration
+}
+
+// limitOf returns what a place must offer: to a call in time, an answer within
+// its objective; to a late one, room that calls in time do not need.
+func (l *line) limitOf(v *visit, read time.Duration, now time.Time, began bool) placeLimit {
+	if began || v.tries > 0 {
+		return placeLimit{load: v.service.Slots, reading: v.route.Objective}
+	}
+	if l.isLate(v, read, now) {
+		return placeLimit{load: v.service.Slots - lateSpare, reading: lateReading}
+	}
+	left := v.begin.Add(v.route.Objective).Sub(now) - l.fleet.First(v.header.Model) - read
+	return placeLimit{load: v.service.Slots, reading: left + objectiveSlack}
+}
+
+func (l *line) refusal(v *visit, candidates int) *ring.Failure {
+	back := time.Now().Add(overloadRetry + rand.N(overloadRetry))
+	if candidates == 0 {
+		return ring.FailUntil(ring.CodeNoGroup, back, "no replica serves model %q now", v.header.Model)
+	}
+	return ring.FailUntil(ring.CodeOverloaded, back, "all replicas of model %q are full", v.header.Model)
+}
+
+// choose returns the replica that will answer soonest, if one has a place within
+// the limit.
+func choose(candidates []fleet.Candidate, limit placeLimit) (fleet.Candidate, bool) {
 	best, bestCost := -1, time.Duration(0)
 	for i, c := range candidates {
-		if c.Load >= slots {
+		if c.Load >= limit.load || c.Reading > limit.reading {
 			continue
 		}
 		cost := c.Reading + time.Duration(c.Load)*loadCost + rand.N(loadJitter)
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -279,6 +279,9 @@
 		if !o.began {
 			o.head(x)
 			o.visit.first = now.Sub(o.visit.begin)
+			if o.visit.tries == 1 {
+				o.front.config.Fleet.ObserveFirst(o.visit.header.Model, now.Sub(o.visit.sentAt)-o.visit.expected)
+			}
 		}
 		if !o.lastAt.IsZero() {
 			o.visit.pause = max(o.visit.pause, now.Sub(o.lastAt))
