composition: spares hold one model and keep the other on their host

Cause, from a census by domain now logged: each domain's second loss of the same model waited 16 s for a load, with five survivors idle, while a spare stood by with the other model; and survivors of the larger model were loaded with the smaller one, of which the domain had a replica. A join is quick (0.2 s) for the model of the server's last replica, and takes 1.6 s for a staged one; staging runs beside all else. So each spare holds one model and stages the other, and survivors are kept for 15 s for a model that their domain lacks.

--- a/internal/agent/govern.go
+++ b/internal/agent/govern.go
@@ -114,6 +114,11 @@
 			go g.send(ctx, service, action)
 		case composition.Inspect:
 			go g.inspect(ctx, service, action)
+		case composition.Census:
+			for _, d := range action.Counts {
+				g.agent.log.Write(event.DomainCounted, slog.String("domain", string(d.Domain)), slog.Any("open", d.Open),
+					slog.Any("forming", d.Forming), slog.Any("spares", d.Spares), slog.Int("loading", d.Loading))
+			}
 		case composition.Note:
 			g.agent.log.Write(event.Composed, slog.String("group", string(action.Group)), slog.Uint64("epoch", uint64(action.Epoch)),
 				slog.String("model", string(action.Model)), slog.String("what", action.What), slog.String("vm", string(action.Culprit)),
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -37,6 +37,9 @@
 	// long a head that lost a member may go on.
 	Return time.Duration
 	Stall  time.Duration
+	// Hold is how long the members of a lost replica wait for one that comes in
+	// the place of the missing.
+	Hold time.Duration
 	// Spares is how many spares a domain keeps before it forms a second
 	// replica of a model.
 	Spares int
@@ -56,6 +59,7 @@
 		LoadsAtStart: 66,
 		Return:       2500 * time.Millisecond,
 		Stall:        6500 * time.Millisecond,
+		Hold:         15 * time.Second,
 		Spares:       1,
 	}
 }
@@ -88,7 +92,11 @@
 	// listed, by when they were first seen so.
 	partial map[ring.Epoch]time.Time
 	servers map[ring.VM]*serverState
+	// lacking tells since when domains lack a replica of a model.
+	lacking map[lack]time.Time
 	loads   loadLimit
+	// counted is when the last census was taken.
+	counted time.Time
 	out     []Action
 }
 
@@ -96,7 +104,7 @@
 func New(c Config) *Composer {
 	return &Composer{
 		options: c.Options, epoch: ring.Epoch(c.Term) * termEpochs,
-		listed: map[ring.VM]ring.Server{}, replicas: map[ring.Epoch]*replica{}, gone: map[ring.Epoch]bool{}, partial: map[ring.Epoch]time.Time{}, servers: map[ring.VM]*serverState{},
+		listed: map[ring.VM]ring.Server{}, replicas: map[ring.Epoch]*replica{}, gone: map[ring.Epoch]bool{}, partial: map[ring.Epoch]time.Time{}, lacking: map[lack]time.Time{}, servers: map[ring.VM]*serverState{},
 	}
 }
 
@@ -118,8 +126,11 @@
 	orderKind ring.OrderKind
 	orderedAt time.Time
 	failures  int
-	// loading is set while a load of weights was ordered and not yet seen done.
-	loading   bool
+	// held is the model of the server's last replica: joining one of it again
+	// takes a moment.
+	held ring.Model
+	// loading is the model whose load was ordered and not yet seen done.
+	loading   ring.Model
 	loadUntil time.Time
 }
 
@@ -165,8 +176,11 @@
 			*state = serverState{incarnation: s.Incarnation}
 		}
 		state.last = s
-		if state.loading && (now.After(state.loadUntil) || s.Place.State == ring.MemberReady || s.Place.State == ring.MemberOpen) {
-			state.loading = false
+		if isReady := s.Place.State == ring.MemberReady || s.Place.State == ring.MemberOpen; isReady && s.Model != "" {
+			state.held = s.Model
+		}
+		if now.After(state.loadUntil) || s.HasStaged(state.loading) {
+			state.loading = ""
 		}
 		c.epoch = max(c.epoch, s.Place.Epoch)
 	}
@@ -232,8 +246,10 @@
 	if !c.view.HasTraffic && now.Before(c.listedAt.Add(c.options.Settle)) {
 		return // More servers may come; a plan for few leaves the rest stranded.
 	}
+	c.noteLacking(now)
 	c.form(now)
 	c.standby(now)
+	c.census(now)
 }
 
 // reviveDead asks listed servers that were found dead again: they may only
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -117,6 +117,20 @@
 	Took time.Duration
 }
 
+// Count is what one domain has. Spares are those that hold a model, Loading
+// those that do not yet.
+type Count struct {
+	Domain  ring.Domain
+	Open    map[ring.Model]int
+	Forming map[ring.Model]int
+	Spares  map[ring.Model]int
+	Loading int
+}
+
+// Census tells what each domain has.
+type Census struct{ Counts []Count }
+
+func (Census) action()  {}
 func (Send) action()    {}
 func (Inspect) action() {}
 func (Note) action()    {}
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -40,7 +40,7 @@
 	if !c.view.HasTraffic {
 		running := 0
 		for _, s := range c.servers {
-			if s.loading {
+			if s.loading != "" {
 				running++
 			}
 		}
@@ -82,17 +82,26 @@
 }
 
 // joinTime is how long the server takes to be ready under a new epoch.
-func (c *Composer) joinTime(s ring.Server, m ring.ReplicaModel) time.Duration {
-	isHeld := s.Model == m.Name && s.Place.State != ring.MemberJoining && s.Place.State != ring.MemberNone
+func (c *Composer) joinTime(s ring.Server, m ring.ReplicaModel, now time.Time) time.Duration {
+	state := c.server(s.ID)
 	switch {
-	case isHeld:
+	case state.held == m.Name:
 		return quickJoin
 	case s.HasStaged(m.Name):
 		return m.Warm
+	case state.loading == m.Name && now.Before(state.loadUntil):
+		return min(state.loadUntil.Sub(now)+m.Warm, m.Load)
 	}
 	return m.Load
 }
 
+// needsLoad reports whether a join would begin a load from the weight store.
+func (c *Composer) needsLoad(s ring.Server, m ring.ReplicaModel, now time.Time) bool {
+	state := c.server(s.ID)
+	isLoading := state.loading == m.Name && now.Before(state.loadUntil)
+	return state.held != m.Name && !s.HasStaged(m.Name) && !isLoading
+}
+
 // form forms replicas of free servers until no more can be had.
 func (c *Composer) form(now time.Time) {
 	free := c.free()
@@ -122,7 +131,7 @@
 	var best, quick *plan
 	for _, domain := range domainsOf(free) {
 		for _, m := range c.view.Service.Models {
-			p := c.planOf(m, domain, free[domain])
+			p := c.planOf(m, domain, free[domain], now)
 			if p == nil {
 				continue
 			}
@@ -151,26 +160,72 @@
 }
 
 // planOf returns the quickest replica of the model in the domain, or nil.
-func (c *Composer) planOf(m ring.ReplicaModel, domain ring.Domain, free []ring.Server) *plan {
-	if len(free) < m.Size {
+func (c *Composer) planOf(m ring.ReplicaModel, domain ring.Domain, free []ring.Server, now time.Time) *plan {
+	sorted := make([]ring.Server, 0, len(free))
+	for _, s := range free {
+		if !c.isReserved(s, m, domain, now) {
+			sorted = append(sorted, s)
+		}
+	}
+	if len(sorted) < m.Size {
 		return nil
 	}
-	if c.count(m.Name, domain) > 0 && len(free) < m.Size+c.options.Spares {
+	if c.count(m.Name, domain) > 0 && len(sorted) < m.Size+c.options.Spares {
 		return nil
 	}
-	sorted := append([]ring.Server(nil), free...)
-	sort.SliceStable(sorted, func(i, j int) bool { return c.joinTime(sorted[i], m) < c.joinTime(sorted[j], m) })
+	sort.SliceStable(sorted, func(i, j int) bool { return c.joinTime(sorted[i], m, now) < c.joinTime(sorted[j], m, now) })
 	p := &plan{model: m, domain: domain, members: sorted[:m.Size], need: c.need(m)}
 	for _, s := range p.members {
-		took := c.joinTime(s, m)
-		p.took = max(p.took, took)
-		if took == m.Load {
+		p.took = max(p.took, c.joinTime(s, m, now))
+		if c.needsLoad(s, m, now) {
 			p.loads++
 		}
 	}
 	return p
 }
 
+// isReserved keeps servers that hold a model which the domain lacks, and needs
+// more, from being loaded with another: the member that is missing may come.
+func (c *Composer) isReserved(s ring.Server, m ring.ReplicaModel, domain ring.Domain, now time.Time) bool {
+	if !c.view.HasTraffic || !c.needsLoad(s, m, now) {
+		return false
+	}
+	for _, other := range c.view.Service.Models {
+		if other.Name == m.Name || c.needsLoad(s, other, now) {
+			continue
+		}
+		since, lacks := c.lacking[lack{domain, other.Name}]
+		if lacks && now.Before(since.Add(c.options.Hold)) && c.need(other) > c.need(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// lack is a model of which a domain has no replica.
+type lack struct {
+	domain ring.Domain
+	model  ring.Model
+}
+
+// noteLacking follows since when each domain lacks a model.
+func (c *Composer) noteLacking(now time.Time) {
+	domains := map[ring.Domain]bool{}
+	for _, s := range c.view.Servers {
+		domains[s.Domain] = true
+	}
+	for d := range domains {
+		for _, m := range c.view.Service.Models {
+			key := lack{d, m.Name}
+			if c.count(m.Name, d) > 0 {
+				delete(c.lacking, key)
+			} else if _, known := c.lacking[key]; !known {
+				c.lacking[key] = now
+			}
+		}
+	}
+}
+
 // count returns how many replicas of the model the domain has.
 func (c *Composer) count(m ring.Model, domain ring.Domain) int {
 	n := 0
@@ -194,12 +249,12 @@
 	return c.weight(m) / float64(n+1)
 }
 
-// weight is the time that replicas of the model spend on its part of the work.
+// weight is a model's part of the work.
 func (c *Composer) weight(m ring.ReplicaModel) float64 {
-	if m.Share <= 0 || m.Pace <= 0 {
+	if m.Share <= 0 {
 		return 1
 	}
-	return m.Share * m.Pace
+	return m.Share
 }
 
 // begin starts a planned replica.
@@ -218,19 +273,20 @@
 	c.followForming(r, now)
 }
 
-// countLoad counts the load that a join of the server begins.
+// countLoad counts the load that an order to the server begins.
 func (c *Composer) countLoad(s ring.Server, m ring.ReplicaModel, now time.Time) {
-	if c.joinTime(s, m) != m.Load {
+	if !c.needsLoad(s, m, now) {
 		return
 	}
 	state := c.server(s.ID)
-	state.loading = true
+	state.loading = m.Name
 	state.loadUntil = now.Add(m.Load)
 	c.loads.tokens--
 }
 
-// standby gives every spare a model to hold, so that a replica of its domain
-// that loses a member gets another in a moment.
+// standby gives every spare a model to hold in its accelerators, and another to
+// keep on its host, so that a replica of its domain that loses a member gets
+// another in a moment, whichever model it runs.
 func (c *Composer) standby(now time.Time) {
 	free := c.free()
 	for _, domain := range domainsOf(free) {
@@ -242,6 +298,9 @@
 				continue
 			}
 			held[s.Model]++
+			if s.Place.State == ring.MemberReady {
+				c.stage(s, now)
+			}
 		}
 		for _, s := range idle {
 			c.standbyOne(s, domain, held, now)
@@ -249,16 +308,42 @@
 	}
 }
 
+// stage orders a standby to keep on its host the model that it does not hold
+// and that is needed most.
+func (c *Composer) stage(s ring.Server, now time.Time) {
+	state := c.server(s.ID)
+	if state.loading != "" || c.loadsOpen(now) < 1 {
+		return
+	}
+	var best *ring.ReplicaModel
+	for _, m := range c.view.Service.Models {
+		if m.Name == state.held {
+			continue
+		}
+		if s.HasStaged(m.Name) {
+			return
+		}
+		if best == nil || c.need(m) > c.need(*best) {
+			best = &m
+		}
+	}
+	if best == nil {
+		return
+	}
+	c.countLoad(s, *best, now)
+	c.send(s.ID, ring.ReplicaOrder{Kind: ring.OrderStage, Model: best.Name}, now)
+}
+
 func (c *Composer) standbyOne(s ring.Server, domain ring.Domain, held map[ring.Model]int, now time.Time) {
 	state := c.server(s.ID)
 	if state.orderKind == ring.OrderJoin && now.Before(state.orderedAt.Add(c.options.OrderRetry*4)) {
 		return
 	}
-	m, ok := c.standbyModel(s, domain, held)
+	m, ok := c.standbyModel(s, domain, held, now)
 	if !ok {
 		return
 	}
-	if c.joinTime(s, m) == m.Load && c.loadsOpen(now) < 1 {
+	if c.needsLoad(s, m, now) && c.loadsOpen(now) < 1 {
 		return
 	}
 	c.countLoad(s, m, now)
@@ -270,13 +355,13 @@
 
 // standbyModel returns the model that the domain's spares lack most, against
 // the servers that its replicas have; a staged one goes first among equals.
-func (c *Composer) standbyModel(s ring.Server, domain ring.Domain, held map[ring.Model]int) (ring.ReplicaModel, bool) {
+func (c *Composer) standbyModel(s ring.Server, domain ring.Domain, held map[ring.Model]int, now time.Time) (ring.ReplicaModel, bool) {
 	var best ring.ReplicaModel
 	bestNeed := -1.0
 	for _, m := range c.view.Service.Models {
 		members := max(c.count(m.Name, domain), 1) * m.Size
 		need := float64(members) / float64(1+held[m.Name]*members)
-		if s.HasStaged(m.Name) {
+		if !c.needsLoad(s, m, now) {
 			need *= stagedBonus
 		}
 		if need > bestNeed {
@@ -294,3 +379,45 @@
 	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
 	return out
 }
+
+// censusEvery is how often the composer reports what each domain has.
+const censusEvery = 2 * time.Second
+
+// census reports, by domain, the replicas of each model and the spares.
+func (c *Composer) census(now time.Time) {
+	if now.Before(c.counted.Add(censusEvery)) {
+		return
+	}
+	c.counted = now
+	free := c.free()
+	rows := map[ring.Domain]*Count{}
+	row := func(d ring.Domain) *Count {
+		if rows[d] == nil {
+			rows[d] = &Count{Domain: d, Open: map[ring.Model]int{}, Forming: map[ring.Model]int{}, Spares: map[ring.Model]int{}}
+		}
+		return rows[d]
+	}
+	for _, r := range c.replicas {
+		d := row(c.server(r.head().id).last.Domain)
+		if r.phase == phaseOpen {
+			d.Open[r.model.Name]++
+		} else {
+			d.Forming[r.model.Name]++
+		}
+	}
+	for domain, servers := range free {
+		for _, s := range servers {
+			if s.Place.State == ring.MemberReady {
+				row(domain).Spares[s.Model]++
+			} else {
+				row(domain).Loading++
+			}
+		}
+	}
+	var out Census
+	for _, d := range rows {
+		out.Counts = append(out.Counts, *d)
+	}
+	sort.Slice(out.Counts, func(i, j int) bool { return out.Counts[i].Domain < out.Counts[j].Domain })
+	c.out = append(c.out, out)
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -50,6 +50,7 @@
 	GroupRecovered     = Kind{408, "group recovered", slog.LevelInfo}
 	Composed           = Kind{409, "replica changed", slog.LevelInfo}
 	ServerAsked        = Kind{410, "server asked", slog.LevelInfo}
+	DomainCounted      = Kind{411, "domain counted", slog.LevelInfo}
 	RequestFailed      = Kind{501, "request failed", slog.LevelWarn}
 	TryFailed          = Kind{502, "try failed", slog.LevelInfo}
 	ClaimUnsettled     = Kind{503, "claim not settled", slog.LevelError}
@@ -67,7 +68,7 @@
 		StoreLost, StoreBack, ConfigurationInUse, ConfigurationBad, WatchEnded, ConfigurationOld, StoreCallFailed, ServerGone, ServerUnreadable,
 		PeerFound, PeerLost, ControlWon, ControlLost, LeaseLost, PeerUnreadable, DigestFailed,
 		GroupCommitted, GroupRefused, OrderSent, OrderFailed, OrderFenced, VMLeaving, MeasureChanged, GroupRecovered,
-		Composed, ServerAsked,
+		Composed, ServerAsked, DomainCounted,
 		RequestFailed, TryFailed, ClaimUnsettled, StreamReplayed, AnswerMismatch,
 		RequestDone, StreamResumed, LinesDropped,
 	}
