composition: no second replica of a model while its domain lacks a more needed one

Cause: a domain short of one member for the larger model formed a second replica of the smaller one, so that the larger could not come back.

--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -170,7 +170,8 @@
 	if len(sorted) < m.Size {
 		return nil
 	}
-	if c.count(m.Name, domain) > 0 && len(sorted) < m.Size+c.options.Spares {
+	isSecond := c.count(m.Name, domain) > 0
+	if isSecond && (len(sorted) < m.Size+c.options.Spares || c.lacksOther(m, domain, now)) {
 		return nil
 	}
 	sort.SliceStable(sorted, func(i, j int) bool { return c.joinTime(sorted[i], m, now) < c.joinTime(sorted[j], m, now) })
@@ -202,6 +203,18 @@
 	return false
 }
 
+// lacksOther reports whether the domain lately lost its replica of a model that
+// is needed more.
+func (c *Composer) lacksOther(m ring.ReplicaModel, domain ring.Domain, now time.Time) bool {
+	for _, other := range c.view.Service.Models {
+		since, lacks := c.lacking[lack{domain, other.Name}]
+		if lacks && now.Before(since.Add(c.options.Hold)) && c.need(other) > c.need(m) {
+			return true
+		}
+	}
+	return false
+}
+
 // lack is a model of which a domain has no replica.
 type lack struct {
 	domain ring.Domain
