composition: tests in a world of servers that obey orders, with faults by seed

Cause found by TestMembersOfAHeadThatNobodySawAreFreeOnceItMustHaveBroken: a member that had left for an unlisted head was free at once, for its entry no longer named the replica. It is kept until the head must have broken.

--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -126,6 +126,9 @@
 	orderKind ring.OrderKind
 	orderedAt time.Time
 	failures  int
+	// boundUntil is until when a head that is not listed may count on the
+	// server.
+	boundUntil time.Time
 	// held is the model of the server's last replica: joining one of it again
 	// takes a moment.
 	held ring.Model
--- /dev/null
+++ b/internal/composition/composer_test.go
@@ -0,0 +1,309 @@
+package composition
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+)
+
+// formed returns a world whose replicas are open, with traffic.
+func formed(t *testing.T, domains int) (*world, *Composer) {
+	t.Helper()
+	w := newWorld(1, domains, 11)
+	c := New(Config{Options: DefaultOptions(), Term: 7})
+	w.run(c, 6*time.Second)
+	if w.open("large") != domains || w.open("small") != domains {
+		t.Fatalf("%d large and %d small replicas are open, not %d each", w.open("large"), w.open("small"), domains)
+	}
+	w.traffic = true
+	w.run(c, time.Second)
+	return w, c
+}
+
+func noFaults(t *testing.T, w *world) {
+	t.Helper()
+	for _, f := range w.faults {
+		t.Error(f)
+	}
+}
+
+// until runs the world until done holds and returns how long it took.
+func until(t *testing.T, w *world, c *Composer, limit time.Duration, done func() bool) time.Duration {
+	t.Helper()
+	begin := w.now
+	for w.now.Sub(begin) < limit {
+		w.run(c, worldTick)
+		if done() {
+			return w.now.Sub(begin)
+		}
+	}
+	t.Fatalf("not done after %s", limit)
+	return 0
+}
+
+func TestEveryDomainGetsOneReplicaOfEachModelAndSpares(t *testing.T) {
+	is := is.New(t)
+	w, _ := formed(t, 6)
+	held := map[ring.Model]int{}
+	for _, s := range w.servers {
+		if isStandby(s.server.Place.Group) {
+			held[s.server.Model]++
+		}
+	}
+	is.Equal(held, map[ring.Model]int{"large": 6, "small": 6}) // one spare a model and domain
+	noFaults(t, w)
+}
+
+func TestSparesStageTheModelThatTheyDoNotHold(t *testing.T) {
+	is := is.New(t)
+	w, _ := formed(t, 1)
+	for _, s := range w.servers {
+		if isStandby(s.server.Place.Group) {
+			is.Equal(len(s.server.Staged), 1)
+			is.True(s.server.Staged[0] != s.server.Model)
+		}
+	}
+}
+
+func TestLostMemberIsReplacedWithinSecondsForEitherModel(t *testing.T) {
+	is := is.New(t)
+	w, c := formed(t, 1)
+	for range 2 { // The second loss finds only the spare of the other model.
+		w.kill(w.headOf("large", "d0").members[3])
+		took := until(t, w, c, 10*time.Second, func() bool { return w.open("large") == 1 })
+		is.True(took < 3*time.Second)
+	}
+	noFaults(t, w)
+}
+
+func TestLostHeadIsReplaced(t *testing.T) {
+	w, c := formed(t, 1)
+	head := w.headOf("small", "d0")
+	w.kill(head.server.ID)
+	until(t, w, c, 8*time.Second, func() bool { return w.open("small") == 1 })
+	noFaults(t, w)
+}
+
+func TestSurvivorsWaitForTheModelThatTheirDomainLacks(t *testing.T) {
+	is := is.New(t)
+	w, c := formed(t, 1)
+	for range 3 { // Two spares cover two losses; after the third six are not there.
+		w.kill(w.headOf("large", "d0").members[1])
+		w.run(c, 4*time.Second)
+	}
+	is.Equal(w.open("large"), 0)
+	is.Equal(w.open("small"), 1) // no second small replica from the survivors
+	w.add("new", "d0")
+	until(t, w, c, 25*time.Second, func() bool { return w.open("large") == 1 })
+	noFaults(t, w)
+}
+
+func TestHeadThatLeavesSilentlyIsReleasedBeforeItsMembersMove(t *testing.T) {
+	// Load pattern: a head's entry goes, it serves for four seconds more, then
+	// it refuses connections while its last streams end.
+	w, c := formed(t, 1)
+	head := w.headOf("large", "d0")
+	head.cutUntil = w.now.Add(time.Hour)
+	head.seenAt = w.now.Add(-time.Hour)
+	head.leftAt = w.now.Add(4 * time.Second)
+	until(t, w, c, 10*time.Second, func() bool { return w.open("large") == 1 && w.headOf("large", "d0") != head })
+	noFaults(t, w)
+}
+
+func TestCutMemberDoesNotEndItsReplica(t *testing.T) {
+	is := is.New(t)
+	w, c := formed(t, 1)
+	head := w.headOf("large", "d0")
+	epoch := head.server.Place.Epoch
+	w.servers[head.members[2]].cutUntil = w.now.Add(10 * time.Second)
+	w.run(c, 12*time.Second)
+	is.Equal(w.headOf("large", "d0").server.Place.Epoch, epoch)
+	noFaults(t, w)
+}
+
+func TestNewControllerAdoptsWhatIsOpen(t *testing.T) {
+	is := is.New(t)
+	w, _ := formed(t, 6)
+	before := map[ring.Epoch]bool{}
+	for _, s := range w.servers {
+		if s.server.Place.State == ring.MemberOpen {
+			before[s.server.Place.Epoch] = true
+		}
+	}
+	c := New(Config{Options: DefaultOptions(), Term: 8})
+	w.run(c, 3*time.Second)
+	for _, s := range w.servers {
+		if s.server.Place.State == ring.MemberOpen {
+			is.True(before[s.server.Place.Epoch]) // nothing was formed anew
+		}
+	}
+	noFaults(t, w)
+}
+
+func TestNewControllerWaitsForTheEntryOfAnOpenHead(t *testing.T) {
+	// After an outage in which leases ran out, the members' entries are back
+	// before the head's.
+	w, _ := formed(t, 1)
+	head := w.headOf("large", "d0")
+	head.listed, head.cutUntil, head.seenAt = false, w.now.Add(1500*time.Millisecond), w.now.Add(-time.Hour)
+	c := New(Config{Options: DefaultOptions(), Term: 8})
+	w.run(c, 5*time.Second)
+	noFaults(t, w)
+	if w.headOf("large", "d0") != head {
+		t.Error("the replica was not adopted")
+	}
+}
+
+func TestMembersOfAHeadThatNobodySawAreFreeOnceItMustHaveBroken(t *testing.T) {
+	w, _ := formed(t, 1)
+	head := w.headOf("large", "d0")
+	head.cutUntil, head.seenAt = w.now.Add(time.Hour), w.now.Add(-time.Hour)
+	w.advance()
+	c := New(Config{Options: DefaultOptions(), Term: 8})
+	begin := w.now
+	left := false
+	for w.now.Sub(begin) < 12*time.Second {
+		w.run(c, worldTick)
+		for _, id := range head.members[1:] {
+			place := w.servers[id].server.Place
+			left = left || place.Epoch == 0
+			if isTaken := place.Epoch > head.server.Place.Epoch; isTaken && w.now.Sub(begin) < worldStall {
+				t.Fatalf("%s was taken after %s, before the head must have broken", id, w.now.Sub(begin))
+			}
+		}
+	}
+	if !left {
+		t.Error("the members did not leave")
+	}
+}
+
+func TestRefusedConnectionIsNoDeathWhileStreamsGoOn(t *testing.T) {
+	is := is.New(t)
+	w, c := formed(t, 1)
+	head := w.headOf("large", "d0").server
+	for range 5 {
+		c.Step(Viewed{View: w.view()}, w.now)
+		c.Step(Inspected{ID: head.ID, Refused: true}, w.now)
+	}
+	is.True(!c.server(head.ID).dead)
+	v := w.view()
+	delete(v.Flowing, head.Place.Epoch)
+	c.Step(Viewed{View: v}, w.now)
+	c.Step(Inspected{ID: head.ID, Refused: true}, w.now)
+	is.True(c.server(head.ID).dead)
+}
+
+func TestEpochsGrowOverTerms(t *testing.T) {
+	is := is.New(t)
+	w, c := formed(t, 1)
+	next := New(Config{Options: DefaultOptions(), Term: 8})
+	next.Step(Viewed{View: w.view()}, w.now)
+	is.True(next.epoch > c.epoch)
+	old := New(Config{Options: DefaultOptions(), Term: 1}) // a store that was set up anew
+	old.Step(Viewed{View: w.view()}, w.now)
+	is.True(old.epoch >= c.epoch-1)
+}
+
+func TestMemberThatIsFencedEndsTheAttempt(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 1, 3)
+	w.service.Models = w.service.Models[1:]
+	c := New(Config{Options: DefaultOptions(), Term: 7})
+	w.servers["v0-01"].maxEpoch = 1 << 40
+	w.run(c, 3*time.Second)
+	is.Equal(w.open("small"), 0)
+	noFaults(t, w)
+}
+
+func TestLoadsStayWithinTheRate(t *testing.T) {
+	const window, over = 5 * time.Second, 1.1
+	w, c := formed(t, 6)
+	w.loads = nil
+	for d := range 3 { // Three domains restart with nothing on their hosts.
+		for i := range 11 {
+			id := w.ids()[d*11+i]
+			w.restart(id)
+			w.servers[id].server.Staged = nil
+		}
+	}
+	w.run(c, 40*time.Second)
+	limit := int(w.service.LoadsPerSecond*window.Seconds()*over) + 3
+	for i, from := range w.loads {
+		n := 0
+		for _, at := range w.loads[i:] {
+			if at.Sub(from) < window {
+				n++
+			}
+		}
+		if n > limit {
+			t.Fatalf("%d loads began within %s; the limit is %d", n, window, limit)
+		}
+	}
+	if len(w.loads) == 0 {
+		t.Error("nothing was loaded")
+	}
+}
+
+func TestPropertiesUnderMixedFailures(t *testing.T) {
+	for seed := range uint64(40) {
+		w, c := formed(t, 3)
+		w.random.Uint64()
+		soup(w, c, seed)
+		if len(w.faults) > 0 {
+			t.Errorf("seed %d: %v", seed, w.faults)
+		}
+	}
+}
+
+// soup plays half a minute of deaths, restarts, cuts, departures, lost orders
+// and new controllers.
+func soup(w *world, c *Composer, seed uint64) {
+	w.random = newWorld(seed+100, 0, 0).random
+	w.lateShare = 0.1
+	term := ring.Revision(8)
+	for range 60 {
+		ids := w.ids()
+		id := ids[w.random.IntN(len(ids))]
+		s := w.servers[id]
+		switch w.random.IntN(12) {
+		case 0, 1:
+			w.kill(id)
+		case 2, 3:
+			if !s.alive {
+				w.restart(id)
+			}
+		case 4:
+			s.cutUntil = w.now.Add(time.Duration(1+w.random.IntN(10)) * time.Second)
+		case 5:
+			s.server.Leaving = true
+			s.leftAt = w.now.Add(time.Duration(2+w.random.IntN(4)) * time.Second)
+		case 6:
+			term++
+			c = New(Config{Options: DefaultOptions(), Term: term})
+		}
+		w.run(c, 500*time.Millisecond)
+	}
+}
+
+func TestCheckerSeesMembersTakenFromAnOpenHead(t *testing.T) {
+	w, _ := formed(t, 1)
+	head := w.headOf("large", "d0")
+	w.carryOut(head.members[1], ring.ReplicaOrder{Kind: ring.OrderJoin, Group: "x", Epoch: 1 << 50, Model: "small", Members: head.members[1:2]})
+	if len(w.faults) == 0 {
+		t.Error("the checker saw nothing")
+	}
+}
+
+func TestCheckerSeesAHeadOpenedWithoutItsMembers(t *testing.T) {
+	w := newWorld(1, 1, 3)
+	w.carryOut("v0-00", ring.ReplicaOrder{Kind: ring.OrderJoin, Group: "x", Epoch: 5, Model: "small", Members: []ring.VM{"v0-00", "v0-01", "v0-02"}})
+	w.now = w.now.Add(20 * time.Second)
+	w.advance()
+	w.carryOut("v0-00", ring.ReplicaOrder{Kind: ring.OrderOpen, Group: "x", Epoch: 5})
+	if len(w.faults) == 0 {
+		t.Error("the checker saw nothing")
+	}
+}
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -51,7 +51,7 @@
 }
 
 // free returns the usable servers in no replica, by domain.
-func (c *Composer) free() map[ring.Domain][]ring.Server {
+func (c *Composer) free(now time.Time) map[ring.Domain][]ring.Server {
 	held := map[ring.VM]bool{}
 	for _, r := range c.replicas {
 		for _, m := range r.members {
@@ -60,7 +60,7 @@
 	}
 	out := map[ring.Domain][]ring.Server{}
 	for _, s := range c.view.Servers {
-		if held[s.ID] || s.Leaving || c.server(s.ID).dead || c.isBound(s) {
+		if held[s.ID] || s.Leaving || c.server(s.ID).dead || c.isBound(s) || now.Before(c.server(s.ID).boundUntil) {
 			continue
 		}
 		out[s.Domain] = append(out[s.Domain], s)
@@ -104,14 +104,14 @@
 
 // form forms replicas of free servers until no more can be had.
 func (c *Composer) form(now time.Time) {
-	free := c.free()
+	free := c.free(now)
 	for {
 		best := c.choose(free, now)
 		if best == nil {
 			return
 		}
 		c.begin(best, now)
-		free = c.free()
+		free = c.free(now)
 	}
 }
 
@@ -301,7 +301,7 @@
 // keep on its host, so that a replica of its domain that loses a member gets
 // another in a moment, whichever model it runs.
 func (c *Composer) standby(now time.Time) {
-	free := c.free()
+	free := c.free(now)
 	for _, domain := range domainsOf(free) {
 		held := map[ring.Model]int{}
 		var idle []ring.Server
@@ -402,7 +402,7 @@
 		return
 	}
 	c.counted = now
-	free := c.free()
+	free := c.free(now)
 	rows := map[ring.Domain]*Count{}
 	row := func(d ring.Domain) *Count {
 		if rows[d] == nil {
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -177,12 +177,14 @@
 // saw: the head may be open, cut off from the store. They leave, so that it
 // breaks, and are free once it must have.
 func (c *Composer) orphan(epoch ring.Epoch, servers []ring.Server, now time.Time) {
-	if now.After(c.partial[epoch].Add(c.options.Return + c.options.Stall)) {
+	until := c.partial[epoch].Add(c.options.Return + c.options.Stall)
+	if now.After(until) {
 		c.gone[epoch] = true
 		c.note(Note{Group: servers[0].Place.Group, Epoch: epoch, Model: modelOf(servers), What: "members without a head are free"})
 		return
 	}
 	for _, s := range servers {
+		c.server(s.ID).boundUntil = until
 		c.send(s.ID, ring.ReplicaOrder{Kind: ring.OrderLeave, Group: s.Place.Group, Epoch: epoch}, now)
 	}
 }
--- /dev/null
+++ b/internal/composition/world_test.go
@@ -0,0 +1,351 @@
+package composition
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	ring "eelgrassring.dev"
+)
+
+// world is a set of backend servers that obey orders as the platform says, with
+// a registry that lags and faults from a seed. It checks what must always hold.
+type world struct {
+	now     time.Time
+	random  *rand.Rand
+	servers map[ring.VM]*worldServer
+	service ring.RoutedService
+	late    []lateOrder
+	// lateShare is the share of orders that get no answer and are carried out
+	// seconds later.
+	lateShare float64
+	traffic   bool
+	faults    []string
+	loads     []time.Time
+}
+
+type lateOrder struct {
+	at    time.Time
+	id    ring.VM
+	order ring.ReplicaOrder
+}
+
+// worldServer is one server. Entry is what the registry shows.
+type worldServer struct {
+	server   ring.Server
+	alive    bool
+	cutUntil time.Time
+	listed   bool
+	seenAt   time.Time
+	readyAt  time.Time
+	openAt   time.Time
+	maxEpoch ring.Epoch
+	held     ring.Model
+	staging  ring.Model
+	stagedAt time.Time
+	// once holds the replicas in which the server has been ready.
+	once map[ring.Epoch]bool
+	// leftAt is when a leaving server ends.
+	leftAt  time.Time
+	entry   ring.Server
+	members []ring.VM
+}
+
+const (
+	worldTick  = 50 * time.Millisecond
+	worldBeat  = 1200 * time.Millisecond
+	worldForm  = 300 * time.Millisecond
+	worldStall = 6 * time.Second
+)
+
+func newWorld(seed uint64, domains, size int) *world {
+	w := &world{
+		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), servers: map[ring.VM]*worldServer{},
+		service: ring.RoutedService{
+			Name: "engine", Slots: 26, LoadsPerSecond: 5.5, LoadsAtOnce: 8,
+			Models: []ring.ReplicaModel{
+				{Name: "large", Size: 6, Share: 0.67, Pace: 1, Load: 16 * time.Second, Warm: 1600 * time.Millisecond},
+				{Name: "small", Size: 3, Share: 0.33, Pace: 0.6, Load: 12 * time.Second, Warm: 1100 * time.Millisecond},
+			},
+		},
+	}
+	for d := range domains {
+		for i := range size {
+			w.add(ring.VM(fmt.Sprintf("v%d-%02d", d, i)), ring.Domain(fmt.Sprintf("d%d", d)))
+		}
+	}
+	return w
+}
+
+func (w *world) add(id ring.VM, domain ring.Domain) {
+	s := ring.Server{ID: id, Incarnation: fmt.Sprint(w.now.UnixMilli()), Service: "engine", Address: string(id), Domain: domain, Slots: 26}
+	w.servers[id] = &worldServer{server: s, alive: true, listed: true, seenAt: w.now, entry: s, once: map[ring.Epoch]bool{}}
+}
+
+func (w *world) ids() []ring.VM {
+	out := make([]ring.VM, 0, len(w.servers))
+	for id := range w.servers {
+		out = append(out, id)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+func (w *world) model(name ring.Model) ring.ReplicaModel {
+	for _, m := range w.service.Models {
+		if m.Name == name {
+			return m
+		}
+	}
+	return ring.ReplicaModel{}
+}
+
+// advance lets a tick pass: joins end, heads open, the registry follows.
+func (w *world) advance() {
+	w.now = w.now.Add(worldTick)
+	for _, id := range w.ids() {
+		s := w.servers[id]
+		if !s.leftAt.IsZero() && w.now.After(s.leftAt) {
+			s.alive = false
+		}
+		w.settle(s)
+		w.register(s)
+	}
+	kept := w.late[:0]
+	for _, l := range w.late {
+		if w.now.Before(l.at) {
+			kept = append(kept, l)
+			continue
+		}
+		w.carryOut(l.id, l.order)
+	}
+	w.late = kept
+}
+
+func (w *world) settle(s *worldServer) {
+	p := &s.server.Place
+	if p.State == ring.MemberJoining && w.now.After(s.readyAt) {
+		p.State = ring.MemberReady
+		s.once[p.Epoch] = true
+		s.held = s.server.Model
+	}
+	if p.State == ring.MemberReady && !s.openAt.IsZero() && w.now.After(s.openAt) {
+		p.State = ring.MemberOpen
+		s.openAt = time.Time{}
+	}
+	if s.staging != "" && w.now.After(s.stagedAt) {
+		s.server.Staged = []ring.Model{s.staging}
+		s.staging = ""
+	}
+}
+
+// register brings the registry's entry up to date: at once while the server
+// reaches the store, and away after three heartbeats of silence.
+func (w *world) register(s *worldServer) {
+	if s.alive && w.now.After(s.cutUntil) {
+		s.entry, s.listed, s.seenAt = s.server, true, w.now
+		return
+	}
+	if w.now.Sub(s.seenAt) > 3*worldBeat {
+		s.listed = false
+	}
+}
+
+func (w *world) view() View {
+	v := View{Service: w.service, HasTraffic: w.traffic, Still: map[ring.Epoch]time.Duration{}, Flowing: map[ring.Epoch]bool{}}
+	for _, id := range w.ids() {
+		s := w.servers[id]
+		if s.listed {
+			v.Servers = append(v.Servers, s.entry)
+		}
+		if w.traffic && s.alive && s.server.Place.State == ring.MemberOpen {
+			if w.isWorking(s) {
+				v.Flowing[s.server.Place.Epoch] = true
+			} else {
+				v.Still[s.server.Place.Epoch] = time.Second
+			}
+		}
+	}
+	return v
+}
+
+// isWorking reports whether all members of an open head's replica are there.
+func (w *world) isWorking(head *worldServer) bool {
+	for _, id := range head.members {
+		m := w.servers[id]
+		if m == nil || !m.alive || m.server.Place.Epoch != head.server.Place.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// perform carries the composer's actions out and feeds the answers back.
+func (w *world) perform(c *Composer, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Send:
+			w.perform(c, c.Step(Ordered{ID: a.ID, Order: a.Order, Outcome: w.order(a.ID, a.Order)}, w.now))
+		case Inspect:
+			s := w.servers[a.ID]
+			reached := s.alive
+			e := Inspected{ID: a.ID, Answered: reached}
+			if reached {
+				e.Server, e.Leaving = s.server, a.WithHealth && !s.leftAt.IsZero()
+			}
+			w.perform(c, c.Step(e, w.now))
+		}
+	}
+}
+
+func (w *world) order(id ring.VM, o ring.ReplicaOrder) Outcome {
+	s := w.servers[id]
+	if !s.alive {
+		return OutcomeUnknown
+	}
+	if w.random.Float64() < w.lateShare {
+		w.late = append(w.late, lateOrder{w.now.Add(time.Duration(2+w.random.IntN(10)) * time.Second), id, o})
+		return OutcomeUnknown
+	}
+	return w.carryOut(id, o)
+}
+
+func (w *world) carryOut(id ring.VM, o ring.ReplicaOrder) Outcome {
+	s := w.servers[id]
+	if !s.alive {
+		return OutcomeUnknown
+	}
+	p := &s.server.Place
+	if o.Kind == ring.OrderStage {
+		s.staging, s.stagedAt = o.Model, w.now.Add(w.loadTime(o.Model))
+		w.loads = append(w.loads, w.now)
+		return OutcomeDone
+	}
+	if o.Kind == ring.OrderJoin {
+		return w.join(s, o)
+	}
+	if p.Epoch != o.Epoch {
+		return OutcomeRefused
+	}
+	switch o.Kind {
+	case ring.OrderOpen:
+		if p.State == ring.MemberOpen {
+			return OutcomeDone
+		}
+		if p.State != ring.MemberReady {
+			return OutcomeRefused
+		}
+		w.checkWhole(s)
+		s.openAt = w.now.Add(worldForm)
+	case ring.OrderClose, ring.OrderCut:
+		if p.State == ring.MemberOpen {
+			p.State = ring.MemberReady
+		}
+	case ring.OrderLeave:
+		*p, s.openAt = ring.Place{}, time.Time{}
+	}
+	return OutcomeDone
+}
+
+func (w *world) loadTime(m ring.Model) time.Duration {
+	if !w.traffic {
+		return w.model(m).Load / 10
+	}
+	return w.model(m).Load
+}
+
+func (w *world) join(s *worldServer, o ring.ReplicaOrder) Outcome {
+	if o.Epoch < s.maxEpoch {
+		return OutcomeFenced
+	}
+	if s.server.Place.Epoch == o.Epoch {
+		return OutcomeDone
+	}
+	w.checkFree(s)
+	s.maxEpoch = o.Epoch
+	span := w.loadTime(o.Model)
+	switch {
+	case s.held == o.Model:
+		span = 200 * time.Millisecond
+	case s.server.HasStaged(o.Model):
+		span = w.model(o.Model).Warm
+	default:
+		s.server.Staged = []ring.Model{o.Model}
+		w.loads = append(w.loads, w.now)
+	}
+	rank := 0
+	for i, m := range o.Members {
+		if m == s.server.ID {
+			rank = i
+		}
+	}
+	s.server.Place = ring.Place{Group: o.Group, Epoch: o.Epoch, Rank: rank, State: ring.MemberJoining}
+	s.server.Model, s.members, s.readyAt, s.openAt = o.Model, o.Members, w.now.Add(span), time.Time{}
+	return OutcomeDone
+}
+
+// checkFree finds a member that is taken while its head serves, or stands still
+// and is not yet broken.
+func (w *world) checkFree(s *worldServer) {
+	for _, h := range w.servers {
+		if h == s || !h.alive || h.server.Place.Epoch != s.server.Place.Epoch || h.server.Place.Epoch == 0 || h.server.Place.Rank != 0 {
+			continue
+		}
+		if h.server.Place.State == ring.MemberOpen || h.server.Place.State == ring.MemberClosing {
+			w.faults = append(w.faults, fmt.Sprintf("%s taken while head %s of epoch %d is open", s.server.ID, h.server.ID, h.server.Place.Epoch))
+		}
+	}
+}
+
+// checkWhole finds a head that is opened without all members ready.
+func (w *world) checkWhole(head *worldServer) {
+	if len(head.members) != w.model(head.server.Model).Size {
+		w.faults = append(w.faults, fmt.Sprintf("head %s opened with %d members", head.server.ID, len(head.members)))
+	}
+	for _, id := range head.members {
+		if m := w.servers[id]; m.alive && !m.once[head.server.Place.Epoch] {
+			w.faults = append(w.faults, fmt.Sprintf("head %s opened, but %s was never ready under epoch %d", head.server.ID, id, head.server.Place.Epoch))
+		}
+	}
+}
+
+// run lets the composer work for a span.
+func (w *world) run(c *Composer, span time.Duration) {
+	for end := w.now.Add(span); w.now.Before(end); {
+		w.advance()
+		w.perform(c, c.Step(Viewed{View: w.view()}, w.now))
+	}
+}
+
+// open counts the working open replicas of a model.
+func (w *world) open(m ring.Model) int {
+	n := 0
+	for _, s := range w.servers {
+		if s.alive && s.server.Place.State == ring.MemberOpen && s.server.Model == m && w.isWorking(s) {
+			n++
+		}
+	}
+	return n
+}
+
+func (w *world) kill(id ring.VM) { w.servers[id].alive = false }
+
+// restart starts a server anew under its identity: it knows nothing but what
+// lies on its host.
+func (w *world) restart(id ring.VM) {
+	old := w.servers[id]
+	w.add(id, old.server.Domain)
+	w.servers[id].server.Staged = old.server.Staged
+}
+
+// headOf returns the open head of a model in a domain, and its members.
+func (w *world) headOf(m ring.Model, d ring.Domain) *worldServer {
+	for _, id := range w.ids() {
+		s := w.servers[id]
+		if s.alive && s.server.Place.State == ring.MemberOpen && s.server.Model == m && s.server.Domain == d {
+			return s
+		}
+	}
+	return nil
+}
