--- a/cmd/eelgrassd/routed.go
+++ b/cmd/eelgrassd/routed.go
@@ -20,6 +20,7 @@
 	"eelgrassring.dev/internal/agent"
 	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/composition"
+	"eelgrassring.dev/internal/digest"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/fleet"
 	"eelgrassring.dev/internal/gateway"
@@ -91,11 +92,15 @@
 }
 
 func newAgent(s settings.Settings, i incarnation, store ring.Store, f *fleet.Fleet, log *event.Log) (*agent.Agent, error) {
+	port, err := digest.Listen(s.Digests)
+	if err != nil {
+		return nil, err
+	}
 	return agent.New(agent.Config{
-		Name: s.Name, Incarnation: string(i), Zone: ring.Zone(s.Zone), PeerAddress: s.Digests,
+		Name: s.Name, Incarnation: string(i), Zone: ring.Zone(s.Zone), PeerAddress: s.Digests, Port: port,
 		Store: store, Directory: platform.Directory{}, Control: platform.NewControl(), Fleet: f, Log: log,
 		Timing: agent.DefaultTiming(), Composition: composition.DefaultOptions(), Revocation: time.Duration(s.Revocation),
-	})
+	}), nil
 }
 
 func newFront(s settings.Settings, a *agent.Agent, f *fleet.Fleet, m *metric.Registry, log *event.Log) *gateway.Front {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -98,13 +98,21 @@
 	}
 }
 
-// Config configures an Agent. Revocation is the bound within which a revoked
+// Port carries messages between nodes; see digest.Port.
+type Port interface {
+	Send(address string, m digest.Message) (int, error)
+	Serve(take func(from string, m digest.Message))
+	Close() error
+}
+
+// Config configures an Agent. Port may lose messages. Revocation is the bound within which a revoked
 // key must be refused.
 type Config struct {
 	Name        string
 	Incarnation string
 	Zone        ring.Zone
 	PeerAddress string
+	Port        Port
 	Store       ring.Store
 	Directory   ring.Directory
 	Control     ring.ReplicaControl
@@ -120,7 +128,7 @@
 	config  Config
 	fleet   *fleet.Fleet
 	log     *event.Log
-	port    *digest.Port
+	port    Port
 	routing atomic.Pointer[route.Table]
 	// kickRouting and kickDigest ask for a read and for a digest now.
 	routingMirror *mirror.Mirror
@@ -146,16 +154,12 @@
 }
 
 // New returns an agent; Run starts its loops.
-func New(c Config) (*Agent, error) {
-	port, err := digest.Listen(c.PeerAddress)
-	if err != nil {
-		return nil, err
-	}
+func New(c Config) *Agent {
 	return &Agent{
-		config: c, fleet: c.Fleet, log: c.Log, port: port, kickDigest: make(chan struct{}, 1),
+		config: c, fleet: c.Fleet, log: c.Log, port: c.Port, kickDigest: make(chan struct{}, 1),
 		noticeBytes: rate.NewLimiter(noticeBytesPerSecond, noticeBurst),
 		peers:       map[string]*peer{}, questions: map[uint64]chan digest.Reply{},
-	}, nil
+	}
 }
 
 // Routing returns the routes in force, or nil.
--- /dev/null
+++ b/internal/agent/agent_test.go
@@ -0,0 +1,283 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
+	"eelgrassring.dev/internal/composition"
+	"eelgrassring.dev/internal/digest"
+	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/fake"
+	"eelgrassring.dev/internal/fleet"
+	"eelgrassring.dev/internal/standin/platform"
+)
+
+// testDirectory keeps a Routing and Servers as JSON.
+type testDirectory struct{}
+
+func (testDirectory) RoutingKey() string   { return "routing" }
+func (testDirectory) ServerPrefix() string { return "server/" }
+
+func (testDirectory) ReadRouting(value []byte) (*ring.Routing, error) {
+	var r ring.Routing
+	return &r, json.Unmarshal(value, &r)
+}
+
+func (testDirectory) ReadServer(_ string, value []byte) (ring.Server, error) {
+	var s ring.Server
+	return s, json.Unmarshal(value, &s)
+}
+
+// testControl reaches no server.
+type testControl struct{}
+
+func (testControl) Inspect(context.Context, string) (ring.Server, error) {
+	return ring.Server{}, errors.New("no server")
+}
+
+func (testControl) IsLeaving(context.Context, string, string) (bool, error) {
+	return false, errors.New("no server")
+}
+
+func (testControl) Order(context.Context, string, ring.ReplicaOrder, func() bool) error {
+	return errors.New("no server")
+}
+
+// hub carries messages between the ports of a test.
+type hub struct {
+	mu    sync.Mutex
+	ports map[string]*testPort
+	cut   map[string]bool
+	bytes map[string]int
+}
+
+type testPort struct {
+	hub     *hub
+	address string
+	in      chan func()
+	take    func(string, digest.Message)
+}
+
+func (p *testPort) Send(address string, m digest.Message) (int, error) {
+	const size = 100
+	p.hub.mu.Lock()
+	defer p.hub.mu.Unlock()
+	p.hub.bytes[p.address] += size
+	to := p.hub.ports[address]
+	if to == nil || p.hub.cut[p.address] || p.hub.cut[address] {
+		return size, nil
+	}
+	from := p.address
+	select {
+	case to.in <- func() { to.take(from, m) }:
+	default:
+	}
+	return size, nil
+}
+
+func (p *testPort) Serve(take func(string, digest.Message)) {
+	p.take = take
+	for do := range p.in {
+		do()
+	}
+}
+
+func (p *testPort) Close() error {
+	p.hub.mu.Lock()
+	defer p.hub.mu.Unlock()
+	delete(p.hub.ports, p.address)
+	close(p.in)
+	return nil
+}
+
+// bench is some agents on one keyspace.
+type bench struct {
+	keys   *platform.Keyspace
+	hub    *hub
+	agents []*Agent
+	stores []*fake.Store
+	stops  []context.CancelFunc
+}
+
+func run(t *testing.T, nodes int, do func(is *is.I, b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{keys: platform.NewKeyspace(), hub: &hub{ports: map[string]*testPort{}, cut: map[string]bool{}, bytes: map[string]int{}}}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wait sync.WaitGroup
+		wait.Go(func() { clock.Every(ctx, 50*time.Millisecond, func(context.Context) { b.keys.Expire() }) })
+		for i := range nodes {
+			b.start(ctx, &wait, string(rune('a'+i)))
+		}
+		do(is.New(t), b)
+		cancel()
+		wait.Wait()
+	})
+}
+
+func (b *bench) start(ctx context.Context, wait *sync.WaitGroup, name string) {
+	port := &testPort{hub: b.hub, address: name, in: make(chan func(), 256)}
+	b.hub.mu.Lock()
+	b.hub.ports[name] = port
+	b.hub.mu.Unlock()
+	store := fake.NewStore(b.keys)
+	a := New(Config{
+		Name: name, Incarnation: "1", PeerAddress: name, Port: port, Store: store, Directory: testDirectory{}, Control: testControl{},
+		Fleet: fleet.New(), Log: event.NewLog(slog.New(slog.DiscardHandler)), Timing: DefaultTiming(),
+		Composition: composition.DefaultOptions(), Revocation: 5 * time.Second,
+	})
+	b.agents, b.stores = append(b.agents, a), append(b.stores, store)
+	ctx, stop := context.WithCancel(ctx)
+	b.stops = append(b.stops, stop)
+	wait.Go(func() { a.Run(ctx) })
+}
+
+func (b *bench) apply(number int64) {
+	value, err := json.Marshal(ring.Routing{Number: number, Holders: []ring.KeyHolder{{Workspace: "w", Keys: []string{"k"}}}})
+	if err != nil {
+		panic(err)
+	}
+	b.write("routing", value)
+}
+
+func (b *bench) write(key string, value []byte) {
+	if _, err := b.keys.Commit(context.Background(), ring.Txn{Writes: []ring.Write{{Key: key, Value: value}}}); err != nil {
+		panic(err)
+	}
+}
+
+func (b *bench) numbers() []int64 {
+	out := make([]int64, len(b.agents))
+	for i, a := range b.agents {
+		if t := a.Routing(); t != nil {
+			out[i] = t.Number()
+		}
+	}
+	return out
+}
+
+func TestNodeIsReadyOnlyWithAConfiguration(t *testing.T) {
+	run(t, 1, func(is *is.I, b *bench) {
+		time.Sleep(2 * time.Second)
+		is.True(!b.agents[0].IsReady())
+		b.apply(1)
+		time.Sleep(time.Second)
+		is.True(b.agents[0].IsReady())
+		b.agents[0].Drain()
+		is.True(!b.agents[0].IsReady())
+	})
+}
+
+func TestConfigurationIsInForceWithinTwoSecondsThoughWatchesAreDeaf(t *testing.T) {
+	run(t, 3, func(is *is.I, b *bench) {
+		b.apply(1)
+		time.Sleep(3 * time.Second)
+		for _, s := range b.stores {
+			s.Set(platform.FaultDeafWatch)
+		}
+		for number := int64(2); number < 6; number++ {
+			b.apply(number)
+			time.Sleep(1800 * time.Millisecond)
+			is.Equal(b.numbers(), []int64{number, number, number})
+		}
+	})
+}
+
+func TestConfigurationNeverGoesBackAndUnreadableOnesChangeNothing(t *testing.T) {
+	run(t, 2, func(is *is.I, b *bench) {
+		b.apply(5)
+		time.Sleep(2 * time.Second)
+		b.apply(4)
+		time.Sleep(2 * time.Second)
+		is.Equal(b.numbers(), []int64{5, 5})
+		b.write("routing", []byte("{"))
+		time.Sleep(2 * time.Second)
+		is.Equal(b.numbers(), []int64{5, 5})
+	})
+}
+
+func TestNodeWithoutStoreAndPeersStopsServingKeysBeforeTheBound(t *testing.T) {
+	run(t, 2, func(is *is.I, b *bench) {
+		b.apply(1)
+		time.Sleep(5 * time.Second)
+		b.stores[0].Set(platform.FaultSilent)
+		b.hub.cut["a"] = true
+		revoked := time.Now()
+		b.apply(2)
+		time.Sleep(2500 * time.Millisecond)
+		is.True(b.agents[0].MayServeKeys()) // not earlier than needed
+		for b.agents[0].MayServeKeys() {
+			is.True(time.Since(revoked) < 4900*time.Millisecond)
+			time.Sleep(20 * time.Millisecond)
+		}
+		is.True(!b.agents[0].IsReady())
+		is.True(b.agents[1].MayServeKeys())
+	})
+}
+
+func TestPeersConfirmTheConfigurationOfANodeWithoutStore(t *testing.T) {
+	run(t, 2, func(is *is.I, b *bench) {
+		b.apply(1)
+		time.Sleep(3 * time.Second)
+		b.stores[0].Set(platform.FaultDown)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			is.True(b.agents[0].MayServeKeys())
+		}
+		b.apply(2) // It cannot read the newer one, and hears that there is one.
+		time.Sleep(5 * time.Second)
+		is.True(!b.agents[0].MayServeKeys())
+	})
+}
+
+func TestControlMovesWithinSecondsWhenItsNodeDies(t *testing.T) {
+	run(t, 3, func(is *is.I, b *bench) {
+		b.apply(1)
+		time.Sleep(5 * time.Second)
+		ruling := func() int {
+			at := -1
+			for i, a := range b.agents {
+				if a.IsController() {
+					is.Equal(at, -1) // never two
+					at = i
+				}
+			}
+			return at
+		}
+		first := ruling()
+		is.True(first >= 0)
+		b.stores[first].Set(platform.FaultSilent) // A dead node renews nothing.
+		time.Sleep(4 * time.Second)
+		second := ruling()
+		is.True(second >= 0 && second != first)
+	})
+}
+
+func TestDigestsStayWithinTheirBytes(t *testing.T) {
+	run(t, 6, func(is *is.I, b *bench) {
+		b.apply(1)
+		time.Sleep(5 * time.Second)
+		b.hub.mu.Lock()
+		b.hub.bytes = map[string]int{}
+		b.hub.mu.Unlock()
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			for _, a := range b.agents {
+				a.Notice(1, 20*time.Millisecond)
+			}
+		}
+		for _, a := range b.agents {
+			is.True(b.hub.bytes[a.config.Name] < 10*40*1000) // ten seconds; the hub counts a notice as 100 bytes, not 40
+		}
+	})
+}
