agent: above twelve nodes digests travel by a tree

Now a node reports to its parent what all below it know, the controller sends the sum and the registry's changes down, and the others neither watch the registry nor list it often. The choice of a replica draws by free places there.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -140,10 +140,14 @@
 	mu        sync.Mutex
 	confirmed clock.Mark
 	peers     map[string]*peer
-	taken     bool
-	listed    bool
-	questions map[uint64]chan digest.Reply
-	lastID    uint64
+	// controller is the node that holds the controller's key, as far as is
+	// known; tree is this node's state in the tree of digests.
+	controller string
+	tree       tree
+	taken      bool
+	listed     bool
+	questions  map[uint64]chan digest.Reply
+	lastID     uint64
 }
 
 // peer is another node. Its address comes from its membership.
@@ -202,7 +206,14 @@
 }
 
 // Nodes returns how many nodes are live, this one included.
-func (a *Agent) Nodes() int { return len(a.liveAddresses()) + 1 }
+func (a *Agent) Nodes() int {
+	if a.isTree() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		return max(a.tree.nodes, len(a.peers)+1)
+	}
+	return len(a.liveAddresses()) + 1
+}
 
 // Run runs all loops until the context ends.
 func (a *Agent) Run(ctx context.Context) {
@@ -213,7 +224,9 @@
 	})
 	wait.Go(func() { a.port.Serve(a.take) })
 	context.AfterFunc(ctx, func() { _ = a.port.Close() })
-	servers := a.newMirror(mirror.Config{Prefix: a.config.Directory.ServerPrefix(), Resync: t.Resync, Grace: t.Grace, OnChange: a.applyServer})
+	servers := a.newMirror(mirror.Config{
+		Prefix: a.config.Directory.ServerPrefix(), Resync: t.Resync, Grace: t.Grace, OnChange: a.applyServer, IsFollowed: a.isFollowed,
+	})
 	state := a.newMirror(mirror.Config{
 		Prefix: catalog.StatePrefix, Resync: t.Resync, OnChange: a.applyState, OnSync: func(clock.Mark) { a.noteListed() },
 	})
@@ -241,8 +254,10 @@
 		if a.IsController() {
 			return t.ControlPause
 		}
-		return t.Pause
+		return a.stretched(t.Pause, maxPause)
 	}
+	resync := c.Resync
+	c.ResyncAfter = func() time.Duration { return a.stretched(resync, maxResync) }
 	c.OnState = func(up bool, err error) {
 		kind := event.StoreBack
 		if !up {
@@ -253,6 +268,26 @@
 	return mirror.New(c)
 }
 
+const (
+	// nodesAtFullRate is how many nodes may read the store at the rates of
+	// Timing; more nodes read less often, up to maxPause and maxResync.
+	nodesAtFullRate = 12
+	maxPause        = 2 * time.Second
+	maxResync       = 10 * time.Second
+)
+
+// stretched lengthens an interval with the number of nodes, so that all together
+// do not call the store more often.
+func (a *Agent) stretched(span, most time.Duration) time.Duration {
+	a.mu.Lock()
+	nodes := len(a.peers) + 1
+	a.mu.Unlock()
+	if nodes <= nodesAtFullRate {
+		return span
+	}
+	return max(span, min(span*time.Duration(nodes)/nodesAtFullRate, most))
+}
+
 // isConfirmed reports whether a peer lately read the configuration that is in
 // force here.
 func (a *Agent) isConfirmed() bool {
@@ -297,6 +332,7 @@
 	id := ring.VM(strings.TrimPrefix(c.Entry.Key, a.config.Directory.ServerPrefix()))
 	if c.Deleted {
 		a.fleet.Remove(id, c.Entry.Modified)
+		a.pass(id, ring.Server{}, c.Entry.Modified, true)
 		a.log.Write(event.ServerGone, slog.String("vm", string(id)), slog.Int64("revision", int64(c.Entry.Modified)))
 		return
 	}
@@ -308,6 +344,7 @@
 	}
 	before, known := a.fleet.Server(id)
 	a.fleet.Put(s, c.Entry.Modified)
+	a.pass(id, s, c.Entry.Modified, false)
 	if s.Leaving && !(known && before.Leaving) {
 		a.log.Write(event.VMLeaving, slog.String("vm", string(id)), slog.Int64("revision", int64(c.Entry.Modified)))
 	}
@@ -324,6 +361,7 @@
 	if c.Entry.Key == catalog.ControllerKey {
 		a.mu.Lock()
 		a.taken = !c.Deleted
+		a.controller, _, _ = strings.Cut(string(c.Entry.Value), "/")
 		a.mu.Unlock()
 		return
 	}
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	ring "eelgrassring.dev"
@@ -59,6 +61,15 @@
 	ports map[string]*testPort
 	cut   map[string]bool
 	bytes map[string]int
+	// messages counts what each node sent.
+	messages map[string]int
+}
+
+// reset begins a count.
+func (h *hub) reset() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.bytes, h.messages = map[string]int{}, map[string]int{}
 }
 
 type testPort struct {
@@ -69,20 +80,25 @@
 }
 
 func (p *testPort) Send(address string, m digest.Message) (int, error) {
-	const size = 100
+	text, err := cbor.Marshal(m)
+	if err != nil {
+		return 0, err
+	}
+	size := len(text) + datagramOverhead
 	p.hub.mu.Lock()
 	defer p.hub.mu.Unlock()
 	p.hub.bytes[p.address] += size
+	p.hub.messages[p.address]++
 	to := p.hub.ports[address]
 	if to == nil || p.hub.cut[p.address] || p.hub.cut[address] {
-		return size, nil
+		return size - datagramOverhead, nil
 	}
 	from := p.address
 	select {
 	case to.in <- func() { to.take(from, m) }:
 	default:
 	}
-	return size, nil
+	return size - datagramOverhead, nil
 }
 
 func (p *testPort) Serve(take func(string, digest.Message)) {
@@ -112,12 +128,12 @@
 func run(t *testing.T, nodes int, do func(is *is.I, b *bench)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		b := &bench{keys: platform.NewKeyspace(), hub: &hub{ports: map[string]*testPort{}, cut: map[string]bool{}, bytes: map[string]int{}}}
+		b := &bench{keys: platform.NewKeyspace(), hub: &hub{ports: map[string]*testPort{}, cut: map[string]bool{}, bytes: map[string]int{}, messages: map[string]int{}}}
 		ctx, cancel := context.WithCancel(t.Context())
 		var wait sync.WaitGroup
 		wait.Go(func() { clock.Every(ctx, 50*time.Millisecond, func(context.Context) { b.keys.Expire() }) })
 		for i := range nodes {
-			b.start(ctx, &wait, string(rune('a'+i)))
+			b.start(ctx, &wait, nodeName(i))
 		}
 		do(is.New(t), b)
 		cancel()
@@ -125,6 +141,16 @@
 	})
 }
 
+// bytesPerSecond is what control may cost a node.
+const bytesPerSecond = 4096
+
+func nodeName(i int) string {
+	if i < 26 {
+		return string(rune('a' + i))
+	}
+	return fmt.Sprintf("n%03d", i)
+}
+
 func (b *bench) start(ctx context.Context, wait *sync.WaitGroup, name string) {
 	port := &testPort{hub: b.hub, address: name, in: make(chan func(), 256)}
 	b.hub.mu.Lock()
@@ -267,9 +293,7 @@
 	run(t, 6, func(is *is.I, b *bench) {
 		b.apply(1)
 		time.Sleep(5 * time.Second)
-		b.hub.mu.Lock()
-		b.hub.bytes = map[string]int{}
-		b.hub.mu.Unlock()
+		b.hub.reset()
 		for range 1000 {
 			time.Sleep(10 * time.Millisecond)
 			for _, a := range b.agents {
@@ -277,7 +301,138 @@
 			}
 		}
 		for _, a := range b.agents {
-			is.True(b.hub.bytes[a.config.Name] < 10*40*1000) // ten seconds; the hub counts a notice as 100 bytes, not 40
+			is.True(b.hub.bytes[a.config.Name] < 10*bytesPerSecond)
+		}
+	})
+}
+
+// busy gives every node some requests at each of the replicas.
+func (b *bench) busy(replicas int) {
+	for i := range replicas {
+		s := ring.Server{ID: ring.VM(fmt.Sprintf("h%d", i)), Service: "s", Model: "m", Domain: "d", Place: ring.Place{Group: ring.Group(fmt.Sprintf("g%d", i)), Epoch: ring.Epoch(i + 1), State: ring.MemberOpen}}
+		b.put(s)
+	}
+	time.Sleep(12 * time.Second)
+	for _, a := range b.agents {
+		for _, r := range a.fleet.Replicas() {
+			a.fleet.Begin(r, 0, time.Now())
+			a.fleet.Event(r.Group, true, time.Now())
+		}
+	}
+}
+
+func (b *bench) put(s ring.Server) {
+	value, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	b.write("server/"+string(s.ID), value)
+}
+
+// flow keeps all streams going for a span.
+func (b *bench) flow(span time.Duration) {
+	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		for _, a := range b.agents {
+			for _, r := range a.fleet.Replicas() {
+				a.fleet.Event(r.Group, false, time.Now())
+			}
+		}
+	}
+}
+
+func TestTreeTellsEveryNodeTheLoadOfAll(t *testing.T) {
+	const nodes = 30
+	run(t, nodes, func(is *is.I, b *bench) {
+		b.apply(1)
+		b.busy(3)
+		b.flow(3 * time.Second)
+		for _, a := range b.agents {
+			for _, c := range a.fleet.Candidates("s", "m", nil, time.Now()) {
+				is.Equal(c.Load, nodes)
+			}
+			is.Equal(a.Nodes(), nodes)
+		}
+	})
+}
+
+func TestTreeCarriesRegistryChangesWithinASecond(t *testing.T) {
+	run(t, 30, func(is *is.I, b *bench) {
+		b.apply(1)
+		b.busy(2)
+		b.flow(time.Second)
+		b.put(ring.Server{ID: "h0", Service: "s", Model: "m", Domain: "d", Leaving: true, Place: ring.Place{Group: "g0", Epoch: 1, State: ring.MemberOpen}})
+		time.Sleep(time.Second)
+		for _, a := range b.agents {
+			s, known := a.fleet.Server("h0")
+			is.True(known)
+			is.True(s.Leaving)
+		}
+	})
+}
+
+func TestTreeHealsWhenItsRootAndInnerNodesAreCutOff(t *testing.T) {
+	run(t, 30, func(is *is.I, b *bench) {
+		b.apply(1)
+		b.busy(1)
+		b.flow(2 * time.Second)
+		for i, a := range b.agents {
+			if a.IsController() || i < 3 {
+				b.hub.cut[a.config.Name] = true
+				b.stores[i].Set(platform.FaultSilent)
+			}
+		}
+		b.flow(14 * time.Second) // heal
+		for _, a := range b.agents {
+			if b.hub.cut[a.config.Name] {
+				continue
+			}
+			if load := a.fleet.Candidates("s", "m", nil, time.Now())[0].Load; load < 25 || load > 30 {
+				t.Errorf("node %s counts %d requests", a.config.Name, load)
+			}
+		}
+	})
+}
+
+// counts are what control costs a node at a size.
+type counts struct {
+	bytes, messages int
+	calls           float64
+}
+
+// countAt counts ten seconds of a busy system.
+func countAt(t *testing.T, nodes int) (out counts) {
+	const span = 10
+	run(t, nodes, func(is *is.I, b *bench) {
+		b.apply(1)
+		b.busy(18)
+		b.flow(3 * time.Second)
+		b.hub.reset()
+		before := b.calls()
+		b.flow(span * time.Second)
+		out.calls = float64(b.calls()-before) / span
+		for _, a := range b.agents {
+			out.bytes = max(out.bytes, b.hub.bytes[a.config.Name]/span)
+			out.messages = max(out.messages, b.hub.messages[a.config.Name]/span)
 		}
 	})
+	return out
+}
+
+func (b *bench) calls() int {
+	n := 0
+	for _, s := range b.stores {
+		c := s.Calls()
+		n += c.Reads + c.Writes + c.Watches
+	}
+	return n
+}
+
+func TestControlCostsANodeTheSameAtAnySize(t *testing.T) {
+	for _, nodes := range []int{7, 30, 90} {
+		c := countAt(t, nodes)
+		t.Logf("%d nodes: at most %d bytes and %d messages a second at a node, %.1f store calls a second for all", nodes, c.bytes, c.messages, c.calls)
+		if c.bytes > bytesPerSecond {
+			t.Errorf("%d nodes: a node sends %d bytes a second", nodes, c.bytes)
+		}
+	}
 }
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -17,6 +17,8 @@
 )
 
 const (
+	// maxAsked is how many peers are asked to reach a server.
+	maxAsked = 6
 	// campaignStep is the time between the tries of two nodes for a vacancy.
 	campaignStep = 60 * time.Millisecond
 	// peerBytesPerSecond is what digests to all peers may cost, and
@@ -43,10 +45,11 @@
 	own := routing.Hash(catalog.ControllerKey + a.config.Name)
 	before := 0
 	now := time.Now()
+	isTree := a.isTree() // Peers are not heard one by one there.
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for name, p := range a.peers {
-		if now.Sub(p.heard) <= peerSilence && routing.Hash(catalog.ControllerKey+name) < own {
+		if (isTree || now.Sub(p.heard) <= peerSilence) && routing.Hash(catalog.ControllerKey+name) < own {
 			before++
 		}
 	}
@@ -118,9 +121,16 @@
 		case <-timer.C:
 		case <-a.kickDigest:
 		}
-		spent := a.tell()
-		interval := time.Duration(float64(spent) / peerBytesPerSecond * float64(time.Second))
-		timer.Reset(max(a.config.Timing.Digest, interval))
+		least, rate := a.config.Timing.Digest, peerBytesPerSecond
+		var spent int
+		if a.isTree() {
+			least, rate = treeInterval, treeBytesPerSecond
+			spent = a.tellTree(time.Now())
+		} else {
+			spent = a.tell()
+		}
+		interval := time.Duration(float64(spent) / float64(rate) * float64(time.Second))
+		timer.Reset(max(least, interval))
 	}
 }
 
@@ -142,6 +152,9 @@
 // Notice tells the peers that a replica was sent a prompt, as long as the bytes
 // for notices last.
 func (a *Agent) Notice(e ring.Epoch, read time.Duration) {
+	if a.isTree() {
+		return // Too many nodes for a message of each to each.
+	}
 	message := digest.Message{Notice: &digest.Notice{Epoch: uint64(e), Read: uint16(min(read.Milliseconds(), math.MaxUint16))}}
 	for _, address := range a.addresses() {
 		if !a.noticeBytes.AllowN(time.Now(), noticeSize) {
@@ -193,6 +206,12 @@
 		a.hear(from, m.Digest)
 	case m.Question != nil:
 		go a.answer(from, *m.Question)
+	case m.Report != nil:
+		a.hearReport(from, m.Report)
+	case m.Summary != nil:
+		a.hearSummary(m.Summary)
+	case len(m.Entries) > 0:
+		a.hearEntries(m.Entries)
 	case m.Notice != nil:
 		a.fleet.Notice(ring.Epoch(m.Notice.Epoch), time.Duration(m.Notice.Read)*time.Millisecond, time.Now())
 	case m.Reply != nil:
@@ -223,13 +242,7 @@
 		still[ring.Epoch(e)] = time.Duration(ms) * time.Millisecond
 	}
 	a.fleet.PutPeer(d.Name, loads, still, now)
-	table := a.routing.Load()
-	switch {
-	case table == nil || d.Number > table.Number():
-		a.routingMirror.Kick()
-	case d.Number == table.Number() && d.Confirmed >= 0:
-		a.confirm(clock.NewMark().Before(time.Duration(d.Confirmed)*time.Millisecond + confirmSlack))
-	}
+	a.hearNumber(d.Number, d.Confirmed)
 }
 
 // note keeps a peer's state.
@@ -274,7 +287,8 @@
 		a.mu.Unlock()
 	}()
 	asked := 0
-	for _, peer := range a.liveAddresses() {
+	live := a.liveAddresses()
+	for _, peer := range live[:min(len(live), maxAsked)] {
 		if _, err := a.port.Send(peer, digest.Message{Question: &digest.Question{ID: id, Address: address}}); err == nil {
 			asked++
 		}
--- /dev/null
+++ b/internal/agent/tree.go
@@ -0,0 +1,352 @@
+package agent
+
+import (
+	"log/slog"
+	"sort"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
+	"eelgrassring.dev/internal/digest"
+	"eelgrassring.dev/internal/event"
+)
+
+// Above treeFrom nodes, digests travel by a tree and not from each node to each:
+// the cost of a node then does not grow with their number. A node reports to its
+// parent what it and all below it know; the root sends the sum back down. The
+// controller is the root, and passes on what changes in the registry, so that
+// the others need not watch it.
+const (
+	treeFrom = 13
+	// treeFanout is how many children a node has.
+	treeFanout = 4
+	// treeInterval is the least time between two reports.
+	treeInterval = 300 * time.Millisecond
+	// treeSilence is the time after which a child or a parent counts as lost.
+	// A node without a parent reports to the parent's parent.
+	treeSilence = 1200 * time.Millisecond
+	// treeBytesPerSecond is what reports and summaries of a node may cost.
+	treeBytesPerSecond = 3200
+	// entriesAtOnce is how many registry changes fit into one datagram.
+	entriesAtOnce = 8
+)
+
+// treePeer is the name under which the fleet knows the sum of all other nodes.
+const treePeer = "tree"
+
+// tree is a node's state in the tree. It is guarded by Agent.mu.
+type tree struct {
+	children map[string]child
+	// sequence is the last summary that was taken, from root.
+	root     string
+	sequence uint64
+	heard    time.Time
+	nodes    int
+	// reported are the own loads that the last summary may hold.
+	reported map[ring.Epoch]int
+	// lift is how many parents are passed over because they are silent.
+	lift     int
+	liftedAt time.Time
+	entries  []digest.Entry
+}
+
+type child struct {
+	address string
+	heard   time.Time
+	report  digest.Report
+}
+
+// isTree reports whether digests travel by the tree.
+func (a *Agent) isTree() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.peers)+1 >= treeFrom
+}
+
+// isFollowed reports whether the registry's changes come from the root, so that
+// this node need not watch it.
+func (a *Agent) isFollowed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.control.Load() && len(a.peers)+1 >= treeFrom && time.Since(a.tree.heard) < treeSilence
+}
+
+// order returns all nodes, the root first; mu is held.
+func (a *Agent) order() []string {
+	names := make([]string, 0, len(a.peers)+1)
+	for name := range a.peers {
+		if name != a.controller {
+			names = append(names, name)
+		}
+	}
+	if a.config.Name != a.controller {
+		names = append(names, a.config.Name)
+	}
+	sort.Strings(names)
+	if a.controller != "" {
+		names = append([]string{a.controller}, names...)
+	}
+	return names
+}
+
+// parent returns the address of the node to report to, or "" at the root; mu is
+// held.
+func (a *Agent) parent(now time.Time) string {
+	names := a.order()
+	own := 0
+	for i, name := range names {
+		if name == a.config.Name {
+			own = i
+		}
+	}
+	if own == 0 {
+		return ""
+	}
+	// A silent parent is passed over, one more for each span of silence.
+	if now.Sub(a.tree.heard) > treeSilence && now.Sub(a.tree.liftedAt) > treeSilence {
+		a.tree.lift++
+		a.tree.liftedAt = now
+	}
+	for range a.tree.lift + 1 {
+		if own == 0 {
+			a.tree.lift = 0 // Even the root was tried; begin again below.
+			break
+		}
+		own = (own - 1) / treeFanout
+	}
+	if p := a.peers[names[own]]; p != nil {
+		return p.address
+	}
+	return ""
+}
+
+// tellTree sends this node's report to its parent, or at the root the summary to
+// its children, and returns the bytes that it took.
+func (a *Agent) tellTree(now time.Time) int {
+	report := a.report(now)
+	a.mu.Lock()
+	parent := a.parent(now)
+	isRoot := a.controller == a.config.Name
+	if isRoot {
+		a.tree.sequence++
+		a.tree.root, a.tree.heard, a.tree.nodes = a.config.Name, now, report.Nodes
+	}
+	sequence := a.tree.sequence
+	entries := a.tree.entries
+	a.tree.entries = nil
+	a.mu.Unlock()
+	if !isRoot {
+		if parent == "" {
+			return 0
+		}
+		return a.post(parent, digest.Message{Report: &report})
+	}
+	spent := a.spread(digest.Summary{
+		Root: a.config.Name, Sequence: sequence, Nodes: report.Nodes, Number: report.Number, Confirmed: report.Confirmed, Shares: report.Shares,
+	})
+	a.takeShares(report.Shares, now)
+	return spent + a.spreadEntries(entries)
+}
+
+// post sends a message and returns its bytes.
+func (a *Agent) post(address string, m digest.Message) int {
+	n, err := a.port.Send(address, m)
+	if err != nil {
+		a.log.Write(event.DigestFailed, slog.String("address", address), slog.Any("error", err))
+		return 0
+	}
+	return n + datagramOverhead
+}
+
+// report sums what this node and its children know.
+func (a *Agent) report(now time.Time) digest.Report {
+	own := a.digest(now)
+	sum := map[uint64]*digest.Share{}
+	at := func(e uint64) *digest.Share {
+		if sum[e] == nil {
+			sum[e] = &digest.Share{Epoch: e}
+		}
+		return sum[e]
+	}
+	for e, n := range own.Loads {
+		s := at(e)
+		s.Load = n
+		_, still := own.Still[e]
+		s.Flowing = !still
+	}
+	for e, ms := range own.Still {
+		s := at(e)
+		s.Still = max(s.Still, ms)
+	}
+	out := digest.Report{Name: a.config.Name, Nodes: 1, Number: own.Number, Confirmed: own.Confirmed}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tree.reported = make(map[ring.Epoch]int, len(own.Loads))
+	for e, n := range own.Loads {
+		a.tree.reported[ring.Epoch(e)] = n
+	}
+	for name, c := range a.tree.children {
+		if now.Sub(c.heard) > treeSilence {
+			delete(a.tree.children, name)
+			continue
+		}
+		out.Nodes += c.report.Nodes
+		for _, s := range c.report.Shares {
+			mine := at(s.Epoch)
+			mine.Load += s.Load
+			mine.Flowing = mine.Flowing || s.Flowing
+			mine.Still = max(mine.Still, s.Still)
+		}
+		out.Number, out.Confirmed = newest(out.Number, out.Confirmed, c.report.Number, c.report.Confirmed+now.Sub(c.heard).Milliseconds())
+	}
+	for _, s := range sum {
+		out.Shares = append(out.Shares, *s)
+	}
+	sort.Slice(out.Shares, func(i, j int) bool { return out.Shares[i].Epoch < out.Shares[j].Epoch })
+	return out
+}
+
+// newest returns the larger number with the age of its confirmation; of two
+// confirmations of the same number the younger counts.
+func newest(number, confirmed, other, otherConfirmed int64) (int64, int64) {
+	switch {
+	case other > number:
+		return other, otherConfirmed
+	case other == number && otherConfirmed >= 0 && (confirmed < 0 || otherConfirmed < confirmed):
+		return number, otherConfirmed
+	}
+	return number, confirmed
+}
+
+// hearReport takes the report of a node below.
+func (a *Agent) hearReport(from string, r *digest.Report) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.tree.children == nil {
+		a.tree.children = map[string]child{}
+	}
+	a.tree.children[r.Name] = child{address: from, heard: now, report: *r}
+	if p := a.peers[r.Name]; p != nil {
+		p.heard = now
+	}
+}
+
+// hearSummary takes a summary and passes it on.
+func (a *Agent) hearSummary(s *digest.Summary) {
+	now := time.Now()
+	a.mu.Lock()
+	isOld := s.Root == a.tree.root && s.Sequence <= a.tree.sequence
+	if isOld || a.control.Load() {
+		a.mu.Unlock()
+		return
+	}
+	a.tree.root, a.tree.sequence, a.tree.heard, a.tree.nodes = s.Root, s.Sequence, now, s.Nodes
+	a.mu.Unlock()
+	a.spread(*s)
+	a.takeShares(s.Shares, now)
+	a.hearNumber(s.Number, s.Confirmed+s.Age)
+}
+
+// spread sends a summary to the children and returns its bytes.
+func (a *Agent) spread(s digest.Summary) int {
+	spent := 0
+	for _, address := range a.childAddresses() {
+		spent += a.post(address, digest.Message{Summary: &s})
+	}
+	return spent
+}
+
+func (a *Agent) childAddresses() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	out := make([]string, 0, len(a.tree.children))
+	for _, c := range a.tree.children {
+		out = append(out, c.address)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// takeShares gives the fleet what all other nodes know.
+func (a *Agent) takeShares(shares []digest.Share, now time.Time) {
+	loads, still := map[ring.Epoch]int{}, map[ring.Epoch]time.Duration{}
+	a.mu.Lock()
+	for _, s := range shares {
+		e := ring.Epoch(s.Epoch)
+		if others := s.Load - a.tree.reported[e]; others > 0 {
+			loads[e] = others
+		}
+		if !s.Flowing {
+			still[e] = time.Duration(s.Still) * time.Millisecond
+		}
+	}
+	a.mu.Unlock()
+	a.fleet.PutPeer(treePeer, loads, still, now)
+}
+
+// hearNumber takes what others know of the newest configuration; confirmed is
+// the age of that knowledge in milliseconds, or negative.
+func (a *Agent) hearNumber(number, confirmed int64) {
+	table := a.routing.Load()
+	switch {
+	case table == nil || number > table.Number():
+		a.routingMirror.Kick()
+	case number == table.Number() && confirmed >= 0:
+		a.confirm(clock.NewMark().Before(time.Duration(confirmed)*time.Millisecond + confirmSlack))
+	}
+}
+
+// pass queues a change of the registry for the nodes below, when it matters to
+// them: heads, plain servers, and whoever leaves.
+func (a *Agent) pass(id ring.VM, s ring.Server, at ring.Revision, gone bool) {
+	isHead := s.Place.Rank == 0 && !s.Place.IsStandby() && (s.Place.State == ring.MemberOpen || s.Place.State == ring.MemberClosing || s.Place.State == ring.MemberBroken)
+	isPlain := s.Domain == ""
+	if !a.control.Load() || !a.isTree() || !(gone || isHead || isPlain || s.Leaving) {
+		return
+	}
+	e := digest.Entry{
+		ID: string(id), Revision: int64(at), Gone: gone, Incarnation: s.Incarnation, Service: string(s.Service), Address: s.Address,
+		Zone: string(s.Zone), Slots: s.Slots, Leaving: s.Leaving, Model: string(s.Model),
+		Group: string(s.Place.Group), Epoch: uint64(s.Place.Epoch), Rank: s.Place.Rank, State: string(s.Place.State),
+	}
+	a.mu.Lock()
+	a.tree.entries = append(a.tree.entries, e)
+	a.mu.Unlock()
+	a.TellSoon()
+}
+
+// spreadEntries sends changes of the registry to the children.
+func (a *Agent) spreadEntries(entries []digest.Entry) int {
+	spent := 0
+	for len(entries) > 0 {
+		n := min(len(entries), entriesAtOnce)
+		for _, address := range a.childAddresses() {
+			spent += a.post(address, digest.Message{Entries: entries[:n]})
+		}
+		entries = entries[n:]
+	}
+	return spent
+}
+
+// hearEntries takes changes of the registry and passes on those that are news.
+func (a *Agent) hearEntries(entries []digest.Entry) {
+	var news []digest.Entry
+	for _, e := range entries {
+		if e.Gone {
+			if a.fleet.Remove(ring.VM(e.ID), ring.Revision(e.Revision)) {
+				news = append(news, e)
+			}
+			continue
+		}
+		s := ring.Server{
+			ID: ring.VM(e.ID), Incarnation: e.Incarnation, Service: ring.Service(e.Service), Address: e.Address, Zone: ring.Zone(e.Zone),
+			Slots: e.Slots, Leaving: e.Leaving, Model: ring.Model(e.Model),
+			Place: ring.Place{Group: ring.Group(e.Group), Epoch: ring.Epoch(e.Epoch), Rank: e.Rank, State: ring.MemberState(e.State)},
+		}
+		if a.fleet.Put(s, ring.Revision(e.Revision)) {
+			news = append(news, e)
+		}
+	}
+	a.spreadEntries(news)
+}
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"strings"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -73,9 +72,6 @@
 // termEpochs is how many epochs one term can use.
 const termEpochs = 1 << 20
 
-// standbyPrefix begins the names of replicas that are never opened.
-const standbyPrefix = "standby-"
-
 // Composer is the decision core. The zero value is not usable; call New.
 type Composer struct {
 	options Options
@@ -343,5 +339,3 @@
 	}
 	return ring.ReplicaModel{}, false
 }
-
-func isStandby(g ring.Group) bool { return strings.HasPrefix(string(g), standbyPrefix) }
--- a/internal/composition/composer_test.go
+++ b/internal/composition/composer_test.go
@@ -49,7 +49,7 @@
 	w, _ := formed(t, 6)
 	held := map[ring.Model]int{}
 	for _, s := range w.servers {
-		if isStandby(s.server.Place.Group) {
+		if s.server.Place.IsStandby() {
 			held[s.server.Model]++
 		}
 	}
@@ -61,7 +61,7 @@
 	is := is.New(t)
 	w, _ := formed(t, 1)
 	for _, s := range w.servers {
-		if isStandby(s.server.Place.Group) {
+		if s.server.Place.IsStandby() {
 			is.Equal(len(s.server.Staged), 1)
 			is.True(s.server.Staged[0] != s.server.Model)
 		}
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -306,7 +306,7 @@
 		held := map[ring.Model]int{}
 		var idle []ring.Server
 		for _, s := range free[domain] {
-			if !isStandby(s.Place.Group) {
+			if !s.Place.IsStandby() {
 				idle = append(idle, s)
 				continue
 			}
@@ -362,7 +362,7 @@
 	c.countLoad(s, m, now)
 	held[m.Name]++
 	c.epoch++
-	group := ring.Group(standbyPrefix + strconv.FormatUint(uint64(c.epoch), 36))
+	group := ring.Standby(strconv.FormatUint(uint64(c.epoch), 36))
 	c.send(s.ID, ring.ReplicaOrder{Kind: ring.OrderJoin, Group: group, Epoch: c.epoch, Model: m.Name, Members: []ring.VM{s.ID}}, now)
 }
 
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -107,7 +107,7 @@
 func (c *Composer) adopt(now time.Time) {
 	found := map[ring.Epoch][]ring.Server{}
 	for _, s := range c.view.Servers {
-		if s.Place.Group == "" || isStandby(s.Place.Group) || c.replicas[s.Place.Epoch] != nil || c.gone[s.Place.Epoch] {
+		if s.Place.Group == "" || s.Place.IsStandby() || c.replicas[s.Place.Epoch] != nil || c.gone[s.Place.Epoch] {
 			continue
 		}
 		found[s.Place.Epoch] = append(found[s.Place.Epoch], s)
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -56,12 +56,68 @@
 	Read  uint16
 }
 
+// Share is what is known of a replica: its requests, whether streams of it have
+// had events lately, and else for how many milliseconds they have stood still.
+type Share struct {
+	_       struct{} `cbor:",toarray"`
+	Epoch   uint64
+	Load    int
+	Flowing bool
+	Still   int64
+}
+
+// Report tells a node's parent in the tree what it and all below it know.
+// Nodes counts them. Number and Confirmed are as in Digest.
+type Report struct {
+	_         struct{} `cbor:",toarray"`
+	Name      string
+	Nodes     int
+	Number    int64
+	Confirmed int64
+	Shares    []Share
+}
+
+// Summary tells the nodes below what all know. Sequence grows at the root, Age
+// is how many milliseconds ago the root sent it.
+type Summary struct {
+	_         struct{} `cbor:",toarray"`
+	Root      string
+	Sequence  uint64
+	Age       int64
+	Nodes     int
+	Number    int64
+	Confirmed int64
+	Shares    []Share
+}
+
+// Entry is a change of the registry that matters to every node.
+type Entry struct {
+	_           struct{} `cbor:",toarray"`
+	ID          string
+	Revision    int64
+	Gone        bool
+	Incarnation string
+	Service     string
+	Address     string
+	Zone        string
+	Slots       int
+	Leaving     bool
+	Model       string
+	Group       string
+	Epoch       uint64
+	Rank        int
+	State       string
+}
+
 // Message is one datagram; exactly one field is set.
 type Message struct {
 	Digest   *Digest   `cbor:"1,keyasint,omitempty"`
 	Question *Question `cbor:"2,keyasint,omitempty"`
 	Reply    *Reply    `cbor:"3,keyasint,omitempty"`
 	Notice   *Notice   `cbor:"4,keyasint,omitempty"`
+	Report   *Report   `cbor:"5,keyasint,omitempty"`
+	Summary  *Summary  `cbor:"6,keyasint,omitempty"`
+	Entries  []Entry   `cbor:"7,keyasint,omitempty"`
 }
 
 // Port sends and receives messages.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -93,30 +93,35 @@
 	f.changed = make(chan struct{})
 }
 
-// Put takes an entry of the registry unless a newer one is known.
-func (f *Fleet) Put(s ring.Server, at ring.Revision) {
+// Put takes an entry of the registry unless the same or a newer one is known.
+// It reports whether it did.
+func (f *Fleet) Put(s ring.Server, at ring.Revision) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.revisions[s.ID] >= at {
-		return
+		return false
 	}
 	f.revisions[s.ID] = at
 	f.servers[s.ID] = s
 	f.rebuild()
+	return true
 }
 
-// Remove drops an entry that was deleted at the revision.
-func (f *Fleet) Remove(id ring.VM, at ring.Revision) {
+// Remove drops an entry that was deleted at the revision. It reports whether
+// there was one.
+func (f *Fleet) Remove(id ring.VM, at ring.Revision) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.revisions[id] > at {
-		return
+		return false
 	}
 	f.revisions[id] = at
-	if _, known := f.servers[id]; known {
+	_, known := f.servers[id]
+	if known {
 		delete(f.servers, id)
 		f.rebuild()
 	}
+	return known
 }
 
 // rebuild derives the replicas; mu is held.
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -32,6 +32,9 @@
 	// time that the replica reads: it lengthens each pass by 0.6 ms, and takes a
 	// place.
 	loadCost = 2 * time.Millisecond
+	// nodesThatAgree is how many nodes may all choose the least loaded replica:
+	// they tell one another of each long prompt.
+	nodesThatAgree = 12
 	// loadJitter spreads the choices of nodes that know the same loads.
 	loadJitter = 4 * time.Millisecond
 )
@@ -71,7 +74,7 @@
 		now := time.Now()
 		candidates := l.fleet.Candidates(v.service.Name, v.header.Model, passed, now)
 		limit := l.limitOf(v, read, now, began)
-		if c, ok := choose(candidates, limit); ok {
+		if c, ok := l.choose(candidates, limit); ok {
 			l.fleet.Begin(c.Replica, read, now)
 			if read >= noticeFrom {
 				l.node.Notice(c.Replica.Epoch, read)
@@ -143,9 +146,41 @@
 	return ring.FailUntil(ring.CodeOverloaded, back, "all replicas of model %q are full", v.header.Model)
 }
 
-// choose returns the replica that will answer soonest, if one has a place within
-// the limit.
-func choose(candidates []fleet.Candidate, limit placeLimit) (fleet.Candidate, bool) {
+// choose returns a replica with a place within the limit, if there is one.
+func (l *line) choose(candidates []fleet.Candidate, limit placeLimit) (fleet.Candidate, bool) {
+	if l.node.Nodes() > nodesThatAgree {
+		return chooseByRoom(candidates, limit)
+	}
+	return chooseSoonest(candidates, limit)
+}
+
+// chooseByRoom draws a replica with a chance that grows with its free places.
+// Many nodes that know the same loads, some hundred milliseconds old, would all
+// go to the least loaded one.
+func chooseByRoom(candidates []fleet.Candidate, limit placeLimit) (fleet.Candidate, bool) {
+	weight := func(c fleet.Candidate) float64 {
+		if c.Load >= limit.load || c.Reading > limit.reading {
+			return 0
+		}
+		room := float64(limit.load - c.Load)
+		return room * room
+	}
+	total := 0.0
+	for _, c := range candidates {
+		total += weight(c)
+	}
+	at := rand.Float64() * total
+	for _, c := range candidates {
+		at -= weight(c)
+		if at < 0 {
+			return c, true
+		}
+	}
+	return fleet.Candidate{}, false
+}
+
+// chooseSoonest returns the replica that will answer soonest.
+func chooseSoonest(candidates []fleet.Candidate, limit placeLimit) (fleet.Candidate, bool) {
 	best, bestCost := -1, time.Duration(0)
 	for i, c := range candidates {
 		if c.Load >= limit.load || c.Reading > limit.reading {
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -29,6 +29,11 @@
 	Pause  func() time.Duration
 	// Resync is how often the prefix is listed.
 	Resync time.Duration
+	// ResyncAfter returns the time to the next listing; nil means Resync.
+	ResyncAfter func() time.Duration
+	// IsFollowed reports whether another node passes all changes on, so that
+	// this one need not watch; nil means never.
+	IsFollowed func() bool
 	// Retry is the pause after a failed call.
 	Retry time.Duration
 	// Grace is the time after an outage that lasted at least as long as Outage.
@@ -83,7 +88,11 @@
 }
 
 func (m *Mirror) resync(ctx context.Context) {
-	timer := time.NewTimer(m.config.Resync)
+	after := m.config.ResyncAfter
+	if after == nil {
+		after = func() time.Duration { return m.config.Resync }
+	}
+	timer := time.NewTimer(after())
 	defer timer.Stop()
 	for {
 		select {
@@ -96,26 +105,42 @@
 		case <-m.kick:
 			m.sync(ctx)
 		}
-		timer.Reset(m.config.Resync)
+		timer.Reset(after())
 	}
 }
 
 func (m *Mirror) follow(ctx context.Context) {
 	for ctx.Err() == nil {
-		revision, ok := m.sync(ctx)
-		if ok {
-			err := m.config.Store.Watch(ctx, m.config.Prefix, revision+1, func(c ring.Changes) {
-				m.take(c, time.Now())
-				clock.Sleep(ctx, m.config.Pause())
-			})
-			if ctx.Err() == nil {
-				m.note(err, time.Now())
-			}
+		if !m.isFollowed() {
+			m.watch(ctx)
 		}
 		clock.Sleep(ctx, m.config.Retry)
 	}
 }
 
+func (m *Mirror) isFollowed() bool { return m.config.IsFollowed != nil && m.config.IsFollowed() }
+
+// watch lists and watches the prefix until the watch fails, or another node
+// passes the changes on.
+func (m *Mirror) watch(ctx context.Context) {
+	revision, ok := m.sync(ctx)
+	if !ok {
+		return
+	}
+	watching, cancel := context.WithCancel(ctx)
+	defer cancel()
+	err := m.config.Store.Watch(watching, m.config.Prefix, revision+1, func(c ring.Changes) {
+		m.take(c, time.Now())
+		clock.Sleep(ctx, m.config.Pause())
+		if m.isFollowed() {
+			cancel()
+		}
+	})
+	if watching.Err() == nil {
+		m.note(err, time.Now())
+	}
+}
+
 // sync lists the prefix once.
 func (m *Mirror) sync(ctx context.Context) (ring.Revision, bool) {
 	begun := clock.NewMark()
--- a/server.go
+++ b/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 )
 
 // ErrRefused marks an order that does not fit the state of the backend server.
@@ -31,6 +32,16 @@
 	State MemberState
 }
 
+// standbyPrefix begins the names of replicas that are never opened.
+const standbyPrefix = "standby-"
+
+// Standby names a replica that is never opened: its one member only holds the
+// model.
+func Standby(name string) Group { return Group(standbyPrefix + name) }
+
+// IsStandby reports whether the place is in a replica that is never opened.
+func (p Place) IsStandby() bool { return strings.HasPrefix(string(p.Group), standbyPrefix) }
+
 // Server is a discovered backend server, as the registry shows it or as it
 // describes itself.
 type Server struct {
