--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -134,6 +134,7 @@
 	routingMirror *mirror.Mirror
 	kickDigest    chan struct{}
 	noticeBytes   *rate.Limiter
+	treeBytes     *rate.Limiter
 	draining      atomic.Bool
 	control       atomic.Bool
 
@@ -161,8 +162,8 @@
 func New(c Config) *Agent {
 	return &Agent{
 		config: c, fleet: c.Fleet, log: c.Log, port: c.Port, kickDigest: make(chan struct{}, 1),
-		noticeBytes: rate.NewLimiter(noticeBytesPerSecond, noticeBurst),
-		peers:       map[string]*peer{}, questions: map[uint64]chan digest.Reply{},
+		treeBytes: rate.NewLimiter(treeBytesPerSecond, treeBurst), noticeBytes: rate.NewLimiter(noticeBytesPerSecond, noticeBurst),
+		peers: map[string]*peer{}, questions: map[uint64]chan digest.Reply{},
 	}
 }
 
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -21,12 +21,15 @@
 	// treeFanout is how many children a node has.
 	treeFanout = 4
 	// treeInterval is the least time between two reports.
-	treeInterval = 300 * time.Millisecond
+	treeInterval = 350 * time.Millisecond
 	// treeSilence is the time after which a child or a parent counts as lost.
 	// A node without a parent reports to the parent's parent.
 	treeSilence = 1200 * time.Millisecond
-	// treeBytesPerSecond is what reports and summaries of a node may cost.
+	// treeBytesPerSecond is what reports and summaries of a node may cost, and
+	// treeBurst what they may at once. A node with many children, as while the
+	// tree changes, passes fewer summaries on.
 	treeBytesPerSecond = 3200
+	treeBurst          = 3000
 	// entriesAtOnce is how many registry changes fit into one datagram.
 	entriesAtOnce = 8
 )
@@ -48,6 +51,8 @@
 	lift     int
 	liftedAt time.Time
 	entries  []digest.Entry
+	// turn is which child comes first.
+	turn int
 }
 
 type child struct {
@@ -248,11 +253,17 @@
 	a.hearNumber(s.Number, s.Confirmed+s.Age)
 }
 
-// spread sends a summary to the children and returns its bytes.
+// spread sends a summary to the children, as long as the bytes for it last, and
+// returns its bytes.
 func (a *Agent) spread(s digest.Summary) int {
 	spent := 0
 	for _, address := range a.childAddresses() {
-		spent += a.post(address, digest.Message{Summary: &s})
+		if a.treeBytes.Tokens() <= 0 {
+			break
+		}
+		n := a.post(address, digest.Message{Summary: &s})
+		a.treeBytes.ReserveN(time.Now(), n)
+		spent += n
 	}
 	return spent
 }
@@ -265,6 +276,12 @@
 		out = append(out, c.address)
 	}
 	sort.Strings(out)
+	// Each time another child is the first, so that none is always left out.
+	a.tree.turn++
+	if len(out) > 0 {
+		first := a.tree.turn % len(out)
+		out = append(out[first:], out[:first]...)
+	}
 	return out
 }
 
--- a/internal/composition/composer_test.go
+++ b/internal/composition/composer_test.go
@@ -57,6 +57,20 @@
 	noFaults(t, w)
 }
 
+func TestSharesCountServers(t *testing.T) {
+	// Half of the work each, and twice as many servers in a replica of one: the
+	// other gets twice as many replicas.
+	is := is.New(t)
+	w := newWorld(1, 6, 27)
+	w.service.Models[0].Size, w.service.Models[0].Share = 12, 0.5
+	w.service.Models[1].Size, w.service.Models[1].Share = 6, 0.5
+	c := New(Config{Options: DefaultOptions(), Term: 7})
+	w.run(c, 8*time.Second)
+	is.Equal(w.open("large"), 6)
+	is.Equal(w.open("small"), 12)
+	noFaults(t, w)
+}
+
 func TestSparesStageTheModelThatTheyDoNotHold(t *testing.T) {
 	is := is.New(t)
 	w, _ := formed(t, 1)
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -250,8 +250,9 @@
 	return n
 }
 
-// need is how much of its part of the work a model lacks: its work over the
-// work that its replicas do.
+// need is what one more replica of the model is worth. Before there is traffic
+// the declared shares, which count work by servers, set how many replicas each
+// model gets; later the model with the larger part of the work goes first.
 func (c *Composer) need(m ring.ReplicaModel) float64 {
 	n := 0
 	for _, r := range c.replicas {
@@ -259,15 +260,14 @@
 			n++
 		}
 	}
-	return c.weight(m) / float64(n+1)
-}
-
-// weight is a model's part of the work.
-func (c *Composer) weight(m ring.ReplicaModel) float64 {
-	if m.Share <= 0 {
-		return 1
+	weight := 1.0
+	if m.Share > 0 {
+		weight = m.Share
+	}
+	if !c.view.HasTraffic {
+		weight /= float64(max(m.Size, 1))
 	}
-	return m.Share
+	return weight / float64(n+1)
 }
 
 // begin starts a planned replica.
