--- a/cmd/eelgrass/root.go
+++ b/cmd/eelgrass/root.go
@@ -43,7 +43,7 @@
 	c.PersistentFlags().StringVarP(&o.output, "output", "o", "table", "table or json")
 	c.AddCommand(
 		checkCommand(), diffCommand(o), applyCommand(o), historyCommand(o),
-		statusCommand(o), explainCommand(o), drainCommand(o),
+		statusCommand(o), explainCommand(o), traceCommand(), drainCommand(o),
 	)
 	return c
 }
--- a/cmd/eelgrassd/routed.go
+++ b/cmd/eelgrassd/routed.go
@@ -35,8 +35,9 @@
 	storeTimeout = 900 * time.Millisecond
 	// watchWait is how long the store may hold a watch without a change.
 	watchWait = 5 * time.Second
-	// retryShare is the part of the platform's budget of retries that the nodes
-	// use, for their counts of each other lag.
+	// retryShare is the part of the platform's budget of retries by requests that
+	// the nodes use, for their counts of each other lag. The part that does not
+	// depend on requests is used whole.
 	retryShare = 0.8
 	// memoryShare is the part of the process's bound that the runtime is told.
 	memoryShare = 0.6
@@ -106,7 +107,7 @@
 func newFront(s settings.Settings, a *agent.Agent, f *fleet.Fleet, m *metric.Registry, log *event.Log) *gateway.Front {
 	return gateway.NewFront(gateway.FrontConfig{
 		Node: a, Fleet: f, Dialect: platform.Dialect{}, Log: log, Metrics: m,
-		RetryPart: s.Retry * retryShare, RetryBurst: s.Burst * retryShare,
+		RetryPart: s.Retry * retryShare, RetryBurst: s.Burst,
 	})
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -125,22 +125,25 @@
 
 // Agent runs the loops of one node.
 type Agent struct {
-	config  Config
-	fleet   *fleet.Fleet
-	log     *event.Log
-	port    Port
-	routing atomic.Pointer[route.Table]
-	// kickRouting and kickDigest ask for a read and for a digest now.
+	config        Config
+	fleet         *fleet.Fleet
+	log           *event.Log
+	port          Port
+	routing       atomic.Pointer[route.Table]
 	routingMirror *mirror.Mirror
-	kickDigest    chan struct{}
-	noticeBytes   *rate.Limiter
-	treeBytes     *rate.Limiter
-	draining      atomic.Bool
-	control       atomic.Bool
+	serversMirror *mirror.Mirror
+	// kickDigest asks for a digest now.
+	kickDigest  chan struct{}
+	noticeBytes *rate.Limiter
+	treeBytes   *rate.Limiter
+	draining    atomic.Bool
+	control     atomic.Bool
 
 	mu        sync.Mutex
 	confirmed clock.Mark
-	peers     map[string]*peer
+	// servers is the last whole listing of the registry.
+	servers clock.Mark
+	peers   map[string]*peer
 	// controller is the node that holds the controller's key, as far as is
 	// known; tree is this node's state in the tree of digests.
 	controller string
@@ -225,8 +228,8 @@
 	})
 	wait.Go(func() { a.port.Serve(a.take) })
 	context.AfterFunc(ctx, func() { _ = a.port.Close() })
-	servers := a.newMirror(mirror.Config{
-		Prefix: a.config.Directory.ServerPrefix(), Resync: t.Resync, Grace: t.Grace, OnChange: a.applyServer, IsFollowed: a.isFollowed,
+	a.serversMirror = a.newMirror(mirror.Config{
+		Prefix: a.config.Directory.ServerPrefix(), Resync: t.Resync, Grace: t.Grace, OnChange: a.applyServer, IsFollowed: a.isFollowed, OnSync: a.noteServers,
 	})
 	state := a.newMirror(mirror.Config{
 		Prefix: catalog.StatePrefix, Resync: t.Resync, OnChange: a.applyState, OnSync: func(clock.Mark) { a.noteListed() },
@@ -240,7 +243,7 @@
 		},
 	})
 	for _, loop := range []func(context.Context){
-		a.routingMirror.Run, servers.Run, state.Run, a.runMembership, a.runDigests, elector.Run,
+		a.routingMirror.Run, a.serversMirror.Run, state.Run, a.runMembership, a.runDigests, elector.Run,
 	} {
 		wait.Go(func() { loop(ctx) })
 	}
@@ -388,6 +391,21 @@
 	a.peers[name] = &peer{address: m.Address}
 }
 
+// noteServers keeps when the registry was last listed.
+func (a *Agent) noteServers(begun clock.Mark) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.servers = begun
+}
+
+// hasListedSince reports whether the registry was listed after the moment: a
+// controller must know all of it before it decides.
+func (a *Agent) hasListedSince(from clock.Mark) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.servers.IsZero() && a.servers.Age() < from.Age()
+}
+
 func (a *Agent) noteListed() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/agent/govern.go
+++ b/internal/agent/govern.go
@@ -8,6 +8,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/composition"
 	"eelgrassring.dev/internal/election"
 	"eelgrassring.dev/internal/event"
@@ -22,7 +23,11 @@
 	a.log.Write(event.ControlWon, slog.Int64("term", int64(t.Number())))
 	defer a.log.Write(event.ControlLost, slog.Int64("term", int64(t.Number())))
 	g := &governor{agent: a, term: t, composers: map[ring.Service]*composition.Composer{}, events: make(chan told, 1024)}
-	actFrom := time.Now().Add(a.config.Timing.Takeover)
+	begun, actFrom := clock.NewMark(), time.Now().Add(a.config.Timing.Takeover)
+	mayDecide := func() bool {
+		return a.hasListedSince(begun) && (a.isUnformed() || time.Now().After(actFrom))
+	}
+	a.serversMirror.Kick()
 	ticker := time.NewTicker(a.config.Timing.Decide)
 	defer ticker.Stop()
 	for {
@@ -31,14 +36,14 @@
 			return
 		case e := <-g.events:
 			g.perform(ctx, e.service, g.composer(e.service).Step(e.event, time.Now()))
-			if len(g.events) == 0 && (time.Now().After(actFrom) || a.isUnformed()) {
+			if len(g.events) == 0 && mayDecide() {
 				g.look(ctx)
 			}
 		case <-ticker.C:
 			if a.IsDraining() {
 				return
 			}
-			if time.Now().After(actFrom) || a.isUnformed() {
+			if mayDecide() {
 				g.look(ctx)
 			}
 		}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -241,7 +241,7 @@
 	for e, ms := range d.Still {
 		still[ring.Epoch(e)] = time.Duration(ms) * time.Millisecond
 	}
-	a.fleet.PutPeer(d.Name, loads, still, now)
+	a.fleet.PutPeer(d.Name, loads, still, now.Add(peerSilence))
 	a.hearNumber(d.Number, d.Confirmed)
 }
 
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -21,17 +21,22 @@
 	// treeFanout is how many children a node has.
 	treeFanout = 4
 	// treeInterval is the least time between two reports.
-	treeInterval = 350 * time.Millisecond
+	treeInterval = 400 * time.Millisecond
 	// treeSilence is the time after which a child or a parent counts as lost.
 	// A node without a parent reports to the parent's parent.
-	treeSilence = 1200 * time.Millisecond
+	treeSilence = 2500 * time.Millisecond
+	// childSilence is the time after which a child no longer counts.
+	childSilence = 1300 * time.Millisecond
+	// treeRetry is when a parent that was silent is tried again: by then its
+	// membership has ended, or it is back.
+	treeRetry = 9 * time.Second
 	// treeBytesPerSecond is what reports and summaries of a node may cost, and
 	// treeBurst what they may at once. A node with many children, as while the
 	// tree changes, passes fewer summaries on.
 	treeBytesPerSecond = 3200
 	treeBurst          = 3000
 	// entriesAtOnce is how many registry changes fit into one datagram.
-	entriesAtOnce = 8
+	entriesAtOnce = 6
 )
 
 // treePeer is the name under which the fleet knows the sum of all other nodes.
@@ -51,6 +56,8 @@
 	lift     int
 	liftedAt time.Time
 	entries  []digest.Entry
+	// parent is the address that was last reported to.
+	parent string
 	// turn is which child comes first.
 	turn int
 }
@@ -107,10 +114,14 @@
 	if own == 0 {
 		return ""
 	}
-	// A silent parent is passed over, one more for each span of silence.
-	if now.Sub(a.tree.heard) > treeSilence && now.Sub(a.tree.liftedAt) > treeSilence {
+	// A silent parent is passed over, one more for each span of silence; a while
+	// later it is tried again, or has left the order.
+	switch {
+	case now.Sub(a.tree.heard) > treeSilence && now.Sub(a.tree.liftedAt) > treeSilence:
 		a.tree.lift++
 		a.tree.liftedAt = now
+	case a.tree.lift > 0 && now.Sub(a.tree.liftedAt) > treeRetry:
+		a.tree.lift = 0
 	}
 	for range a.tree.lift + 1 {
 		if own == 0 {
@@ -139,7 +150,13 @@
 	sequence := a.tree.sequence
 	entries := a.tree.entries
 	a.tree.entries = nil
+	former := a.tree.parent
+	a.tree.parent = parent
 	a.mu.Unlock()
+	if former != "" && former != parent {
+		// Else both parents would count this node for a while.
+		a.post(former, digest.Message{Report: &digest.Report{Name: a.config.Name}})
+	}
 	if !isRoot {
 		if parent == "" {
 			return 0
@@ -191,7 +208,7 @@
 		a.tree.reported[ring.Epoch(e)] = n
 	}
 	for name, c := range a.tree.children {
-		if now.Sub(c.heard) > treeSilence {
+		if now.Sub(c.heard) > childSilence {
 			delete(a.tree.children, name)
 			continue
 		}
@@ -231,6 +248,10 @@
 	if a.tree.children == nil {
 		a.tree.children = map[string]child{}
 	}
+	if r.Nodes == 0 {
+		delete(a.tree.children, r.Name) // It reports to another node now.
+		return
+	}
 	a.tree.children[r.Name] = child{address: from, heard: now, report: *r}
 	if p := a.peers[r.Name]; p != nil {
 		p.heard = now
@@ -299,7 +320,7 @@
 		}
 	}
 	a.mu.Unlock()
-	a.fleet.PutPeer(treePeer, loads, still, now)
+	a.fleet.PutPeer(treePeer, loads, still, now.Add(treeSilence))
 }
 
 // hearNumber takes what others know of the newest configuration; confirmed is
@@ -324,9 +345,12 @@
 	}
 	e := digest.Entry{
 		ID: string(id), Revision: int64(at), Gone: gone, Incarnation: s.Incarnation, Service: string(s.Service), Address: s.Address,
-		Zone: string(s.Zone), Slots: s.Slots, Leaving: s.Leaving, Model: string(s.Model),
+		Zone: string(s.Zone), Domain: string(s.Domain), Slots: s.Slots, Leaving: s.Leaving, Model: string(s.Model),
 		Group: string(s.Place.Group), Epoch: uint64(s.Place.Epoch), Rank: s.Place.Rank, State: string(s.Place.State),
 	}
+	for _, m := range s.Staged {
+		e.Staged = append(e.Staged, string(m))
+	}
 	a.mu.Lock()
 	a.tree.entries = append(a.tree.entries, e)
 	a.mu.Unlock()
@@ -358,9 +382,12 @@
 		}
 		s := ring.Server{
 			ID: ring.VM(e.ID), Incarnation: e.Incarnation, Service: ring.Service(e.Service), Address: e.Address, Zone: ring.Zone(e.Zone),
-			Slots: e.Slots, Leaving: e.Leaving, Model: ring.Model(e.Model),
+			Domain: ring.Domain(e.Domain), Slots: e.Slots, Leaving: e.Leaving, Model: ring.Model(e.Model),
 			Place: ring.Place{Group: ring.Group(e.Group), Epoch: ring.Epoch(e.Epoch), Rank: e.Rank, State: ring.MemberState(e.State)},
 		}
+		for _, m := range e.Staged {
+			s.Staged = append(s.Staged, ring.Model(m))
+		}
 		if a.fleet.Put(s, ring.Revision(e.Revision)) {
 			news = append(news, e)
 		}
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -67,7 +67,8 @@
 }
 
 // Report tells a node's parent in the tree what it and all below it know.
-// Nodes counts them. Number and Confirmed are as in Digest.
+// Nodes counts them; 0 says that the node reports to another one now. Number
+// and Confirmed are as in Digest.
 type Report struct {
 	_         struct{} `cbor:",toarray"`
 	Name      string
@@ -100,6 +101,8 @@
 	Service     string
 	Address     string
 	Zone        string
+	Domain      string
+	Staged      []string
 	Slots       int
 	Leaving     bool
 	Model       string
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,9 +26,6 @@
 	ring "eelgrassring.dev"
 )
 
-// peerSilence is the age from which what a peer told no longer counts.
-const peerSilence = 1500 * time.Millisecond
-
 // Replica is a replica as its members describe it.
 type Replica struct {
 	Group ring.Group
@@ -59,8 +56,9 @@
 	paused map[ring.Group]time.Time
 }
 
+// peerLoads is what a peer told; it counts until a deadline.
 type peerLoads struct {
-	heard time.Time
+	until time.Time
 	loads map[ring.Epoch]int
 	still map[ring.Epoch]time.Duration
 }
@@ -238,7 +236,7 @@
 func (f *Fleet) peerLoad(e ring.Epoch, now time.Time) int {
 	load := 0
 	for _, p := range f.peers {
-		if now.Sub(p.heard) <= peerSilence {
+		if now.Before(p.until) {
 			load += p.loads[e]
 		}
 	}
@@ -246,10 +244,11 @@
 }
 
 // PutPeer takes what a peer told of its loads and of replicas that stand still.
-func (f *Fleet) PutPeer(name string, loads map[ring.Epoch]int, still map[ring.Epoch]time.Duration, now time.Time) {
+// It counts until the deadline.
+func (f *Fleet) PutPeer(name string, loads map[ring.Epoch]int, still map[ring.Epoch]time.Duration, until time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.peers[name] = peerLoads{heard: now, loads: loads, still: still}
+	f.peers[name] = peerLoads{until: until, loads: loads, still: still}
 	f.wake()
 }
 
--- a/internal/fleet/flow.go
+++ b/internal/fleet/flow.go
@@ -19,9 +19,6 @@
 	defaultFirst = 150 * time.Millisecond
 	firstWeight  = 0.05
 	maxFirst     = 400 * time.Millisecond
-	// flowingSilence is the age from which a peer's word that streams go on no
-	// longer counts.
-	flowingSilence = 600 * time.Millisecond
 	// suspicionSpan is how long a replica that stood still gets no requests of
 	// this node, unless an event shows that it works.
 	suspicionSpan = 3 * time.Second
@@ -215,7 +212,7 @@
 		}
 	}
 	for _, p := range f.peers {
-		if now.Sub(p.heard) > flowingSilence {
+		if !now.Before(p.until) {
 			continue
 		}
 		for e := range p.loads {
@@ -238,7 +235,7 @@
 		longest = span
 	}
 	for _, p := range f.peers {
-		if now.Sub(p.heard) > peerSilence {
+		if !now.Before(p.until) {
 			continue
 		}
 		span, still := p.still[r.Epoch]
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -140,6 +140,7 @@
 		}
 		if v.tries > 0 && !f.budgets.of(v.service.Name).Take() {
 			f.plain.give(server, 0, 0, time.Now())
+			v.note = noRetryLeft
 			break
 		}
 		tried[server.ID] = true
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -30,6 +30,9 @@
 	resumeMargin = 400 * time.Millisecond
 )
 
+// noRetryLeft is why a call that could go on does not.
+const noRetryLeft = "the budget of retries is spent"
+
 // errStill marks a try that was given up because its replica stands still.
 var errStill = errors.New("the replica stands still")
 
@@ -51,6 +54,7 @@
 		}
 		if v.tries > 0 && !f.budgets.of(v.service.Name).Take() {
 			f.config.Fleet.End(chosen.Group, false)
+			v.note = noRetryLeft
 			break
 		}
 		passed[chosen.Group] = true
@@ -117,7 +121,9 @@
 	}
 	if failure != nil {
 		o.visit.code = ring.CodeStreamBroken
-		o.visit.note = failure.Message
+		if o.visit.note == "" {
+			o.visit.note = failure.Message
+		}
 	}
 	panic(http.ErrAbortHandler)
 }
--- /dev/null
+++ b/internal/story/story.go
@@ -0,0 +1,188 @@
+// Package story puts the lines of several nodes' logs together that tell what
+// became of one request.
+//
+// Terms: a related line names no request, but the replica or the backend server
+// that the request was sent to, and lies close to it in time.
+//
+// Invariants: lines are ordered by time, then by node; the cause comes last;
+// the same logs give the same story, in whatever order they are read.
+package story
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/event"
+)
+
+// relatedBefore and relatedAfter are how far related lines may lie from the
+// request's own.
+const (
+	relatedBefore = 3 * time.Second
+	relatedAfter  = time.Second
+)
+
+// maxLine bounds a line of a log, in bytes.
+const maxLine = 1 << 20
+
+// line is one line of a log. Fields holds what the others do not.
+type line struct {
+	at     time.Time
+	node   string
+	event  int
+	name   string
+	fields map[string]any
+}
+
+func (l line) text(field string) string {
+	switch v := l.fields[field].(type) {
+	case string:
+		return v
+	case float64:
+		return fmt.Sprint(v)
+	}
+	return ""
+}
+
+// Log is what was read of the logs of some nodes.
+type Log struct {
+	lines   []line
+	skipped int
+}
+
+// Read adds the lines of a log. Lines that are no events are counted and passed
+// over; text before a line's JSON, as some collectors add, does not matter.
+func (g *Log) Read(r io.Reader) error {
+	in := bufio.NewScanner(r)
+	in.Buffer(make([]byte, 0, 64<<10), maxLine)
+	for in.Scan() {
+		text := in.Text()
+		if start := strings.IndexByte(text, '{'); start >= 0 {
+			if l, ok := parse(text[start:]); ok {
+				g.lines = append(g.lines, l)
+				continue
+			}
+		}
+		g.skipped++
+	}
+	return in.Err()
+}
+
+func parse(text string) (line, bool) {
+	var fields map[string]any
+	if json.Unmarshal([]byte(text), &fields) != nil {
+		return line{}, false
+	}
+	l := line{fields: fields}
+	number, ok := fields["event"].(float64)
+	at, err := time.Parse(time.RFC3339Nano, l.text("time"))
+	if !ok || err != nil {
+		return line{}, false
+	}
+	l.at, l.node, l.event, l.name = at, l.text("node"), int(number), l.text("msg")
+	for _, known := range []string{"time", "level", "msg", "node", "event"} {
+		delete(fields, known)
+	}
+	return l, true
+}
+
+// Print writes the story of a request. It reports false when no line names it.
+func (g *Log) Print(w io.Writer, request string) bool {
+	own := g.pick(func(l line) bool { return l.text("request") == request })
+	if len(own) == 0 {
+		return false
+	}
+	begin, end := own[0].at.Add(-relatedBefore), own[len(own)-1].at.Add(relatedAfter)
+	named := map[string]bool{}
+	for _, l := range own {
+		for _, field := range []string{"group", "vm", "to"} {
+			named[l.text(field)] = true
+		}
+	}
+	delete(named, "")
+	all := g.pick(func(l line) bool {
+		if l.text("request") != "" {
+			return l.text("request") == request
+		}
+		return l.at.After(begin) && l.at.Before(end) && (named[l.text("group")] || named[l.text("vm")])
+	})
+	for _, l := range all {
+		fmt.Fprintf(w, "%s  %-16s %d %s%s\n", l.at.Format("15:04:05.000"), l.node, l.event, l.name, attributes(l))
+	}
+	fmt.Fprintf(w, "cause: %s\n", cause(own))
+	return true
+}
+
+func (g *Log) pick(want func(line) bool) []line {
+	var out []line
+	for _, l := range g.lines {
+		if want(l) {
+			out = append(out, l)
+		}
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		a, b := out[i], out[j]
+		if !a.at.Equal(b.at) {
+			return a.at.Before(b.at)
+		}
+		if a.node != b.node {
+			return a.node < b.node
+		}
+		return a.event < b.event
+	})
+	return out
+}
+
+// attributes prints the fields that say something, by name.
+func attributes(l line) string {
+	names := make([]string, 0, len(l.fields))
+	for name, value := range l.fields {
+		if value == nil || value == "" || value == false || value == 0.0 {
+			continue
+		}
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var b strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, l.fields[name])
+	}
+	return b.String()
+}
+
+// cause says why the request ended as it did, from its last line and the tries
+// that failed before.
+func cause(own []line) string {
+	var failed []string
+	last := own[len(own)-1]
+	for _, l := range own {
+		if l.event == event.TryFailed.Number {
+			where := l.text("group")
+			if where == "" {
+				where = l.text("vm")
+			}
+			failed = append(failed, fmt.Sprintf("%s: %s", where, l.text("error")))
+		}
+	}
+	tries := ""
+	if len(failed) > 0 {
+		tries = "; failed tries: " + strings.Join(failed, "; ")
+	}
+	code, _ := last.fields["code"].(float64)
+	switch {
+	case last.event == event.RequestFailed.Number && code != 0:
+		info := ring.Code(code).Info()
+		return fmt.Sprintf("%d %s (ran: %s)%s", info.Code, info.Name, info.Ran, tries)
+	case last.fields["left"] == true:
+		return "the caller left" + tries
+	case last.event == event.RequestDone.Number:
+		return "answered with status " + last.text("status") + tries
+	}
+	return "the log ends before the request does" + tries
+}
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# mutants.sh takes one condition at a time out of a scratch copy of the tree and
+# runs the tests that should notice. It prints the conditions whose removal no
+# test noticed, and fails if there are any. scripts/mutants.txt lists them:
+# name @ file @ Perl substitution @ packages of tests.
+# A test that is known to be red does not count as noticing.
+set -u
+cd "$(dirname "$0")/.."
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+git ls-files -z | grep -zv '^journal/' | xargs -0 cp --parents -t "$copy"
+known=$(sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
+only=${1:-}
+total=0
+survived=0
+while IFS= read -r line; do
+	case "$line" in '' | '#'*) continue ;; esac
+	name=${line%% @ *}
+	rest=${line#* @ }
+	file=${rest%% @ *}
+	rest=${rest#* @ }
+	change=${rest%% @ *}
+	packages=${rest#* @ }
+	[ -z "$only" ] || [ "$only" = "$name" ] || continue
+	total=$((total + 1))
+	cp "$file" "$copy/$file"
+	(cd "$copy" && perl -0pi -e "$change" "$file")
+	if cmp -s "$file" "$copy/$file"; then
+		echo "does not apply: $name"
+		survived=$((survived + 1))
+		continue
+	fi
+	if (cd "$copy" && timeout 120 go test -timeout 40s -count=1 ${known:+-skip "^($known)\$"} $packages >test.out 2>&1); then
+		echo "survived: $name"
+		survived=$((survived + 1))
+	else
+		echo "noticed: $name ($(grep -oE -- '--- FAIL: Test\w+' "$copy/test.out" | head -n 2 | cut -c11- | paste -sd ' ' - | grep . || echo 'no build, no end, or a panic'))"
+	fi
+	cp "$file" "$copy/$file"
+done <scripts/mutants.txt
+echo "$total conditions removed, $survived not noticed"
+[ "$survived" = 0 ]
