composition: a slow member is replaced while there is a spare

A node compares the pauses of its streams by model; the controller asks the members of a slow replica, and takes it apart when one says that it is slow and a spare can join within the time of a warm start.

--- a/internal/agent/govern.go
+++ b/internal/agent/govern.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		view := composition.View{
-			Servers: g.agent.fleet.Servers(service.Name), Service: service, Still: still, Flowing: g.agent.fleet.Flowing(now), Load: load, HasTraffic: g.hasTraffic,
+			Servers: g.agent.fleet.Servers(service.Name), Service: service, Still: still, Flowing: g.agent.fleet.Flowing(now), Slow: g.agent.fleet.Slow(now), Load: load, HasTraffic: g.hasTraffic,
 		}
 		g.perform(ctx, service.Name, g.composer(service.Name).Step(composition.Viewed{View: view}, now))
 	}
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -24,9 +24,11 @@
 	// how many unanswered ones make it dead.
 	AskAgain time.Duration
 	// DeadAgain is the pause between two questions to a listed server that was
-	// found dead.
+	// found dead or slow.
 	DeadAgain time.Duration
-	Misses    int
+	// SlowPace is the pace from which a server counts as slow.
+	SlowPace float64
+	Misses   int
 	// Settle is how long the set of servers must be the same before the first
 	// replicas are formed.
 	Settle time.Duration
@@ -53,6 +55,7 @@
 		StillLimit:   2 * time.Second,
 		AskAgain:     250 * time.Millisecond,
 		DeadAgain:    time.Second,
+		SlowPace:     2,
 		Misses:       2,
 		Settle:       400 * time.Millisecond,
 		LoadsAtStart: 66,
@@ -115,6 +118,8 @@
 	// answered is when the server last answered a question.
 	answered time.Time
 	dead     bool
+	// slow is set while the server says that it is slower than it should be.
+	slow bool
 	// leaving is set when the server said that it is about to end.
 	leaving bool
 	// orders are those that wait for their effect.
@@ -190,6 +195,7 @@
 	s.asking = false
 	if e.Answered {
 		s.misses, s.dead, s.answered, s.leaving = 0, false, now, e.Leaving
+		s.slow = e.Server.Pace >= c.options.SlowPace
 		if e.Server.Incarnation != "" && e.Server.Incarnation != s.incarnation {
 			// The process at the address is another one.
 			s.dead = true
@@ -251,12 +257,12 @@
 	c.census(now)
 }
 
-// reviveDead asks listed servers that were found dead again: they may only
-// have been cut off.
+// reviveDead asks listed servers that were found dead or slow again: they may
+// only have been cut off, or have recovered.
 func (c *Composer) reviveDead(now time.Time) {
 	for _, s := range c.view.Servers {
 		state := c.server(s.ID)
-		if state.dead && now.After(state.askedAt.Add(c.options.DeadAgain)) {
+		if (state.dead || state.slow) && now.After(state.askedAt.Add(c.options.DeadAgain)) {
 			c.ask(s.ID, now)
 		}
 	}
--- a/internal/composition/composer_test.go
+++ b/internal/composition/composer_test.go
@@ -138,6 +138,30 @@
 	noFaults(t, w)
 }
 
+func TestSlowMemberIsReplacedWhileThereIsASpare(t *testing.T) {
+	// Load pattern: one member of a replica works five times slower, and all
+	// streams of the replica wait for it.
+	is := is.New(t)
+	w, c := formed(t, 1)
+	slow := func(n int) {
+		head := w.headOf("large", "d0")
+		w.servers[head.members[n]].server.Pace = 5
+	}
+	isQuick := func() bool {
+		head := w.headOf("large", "d0")
+		return head != nil && w.view().Slow[head.server.Place.Epoch] == 0
+	}
+	for n := range 2 {
+		slow(n + 1)
+		until(t, w, c, 6*time.Second, isQuick)
+	}
+	slow(3) // No spare is left that is not slow itself.
+	epoch := w.headOf("large", "d0").server.Place.Epoch
+	w.run(c, 5*time.Second)
+	is.Equal(w.headOf("large", "d0").server.Place.Epoch, epoch)
+	noFaults(t, w)
+}
+
 func TestNewControllerAdoptsWhatIsOpen(t *testing.T) {
 	is := is.New(t)
 	w, _ := formed(t, 6)
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -39,6 +39,9 @@
 	Still map[ring.Epoch]time.Duration
 	// Flowing are the replicas whose streams have had events lately at some node.
 	Flowing map[ring.Epoch]bool
+	// Slow are the replicas whose streams are much slower than those of others of
+	// their model, by how many times.
+	Slow map[ring.Epoch]float64
 	// Load is the number of requests by model; HasTraffic is set once there
 	// has been any.
 	Load       map[ring.Model]int
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -174,7 +174,13 @@
 	if isSecond && (len(sorted) < m.Size+c.options.Spares || c.lacksOther(m, domain, now)) {
 		return nil
 	}
-	sort.SliceStable(sorted, func(i, j int) bool { return c.joinTime(sorted[i], m, now) < c.joinTime(sorted[j], m, now) })
+	sort.SliceStable(sorted, func(i, j int) bool {
+		a, b := sorted[i], sorted[j]
+		if slowA, slowB := c.server(a.ID).slow, c.server(b.ID).slow; slowA != slowB {
+			return slowB // Slow servers come last: all members wait for them.
+		}
+		return c.joinTime(a, m, now) < c.joinTime(b, m, now)
+	})
 	p := &plan{model: m, domain: domain, members: sorted[:m.Size], need: c.need(m)}
 	for _, s := range p.members {
 		p.took = max(p.took, c.joinTime(s, m, now))
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -286,12 +286,37 @@
 			c.release(r, false, "stands still though all members answer", "", now)
 		}
 	}
+	if c.view.Slow[r.epoch] > 0 && c.replaceSlow(r, now) {
+		return
+	}
 	if head, listed := c.listed[r.head().id]; listed && head.Place.Epoch == r.epoch && head.Place.State == ring.MemberReady {
 		// Somebody closed it; it opens again.
 		r.phase = phaseOpening
 	}
 }
 
+// replaceSlow releases a slow replica when a member says that it is slow and a
+// spare can take its place soon: all members wait for the slowest.
+func (c *Composer) replaceSlow(r *replica, now time.Time) bool {
+	slow := ring.VM("")
+	for _, m := range r.members {
+		c.ask(m.id, now)
+		if c.server(m.id).slow {
+			slow = m.id
+		}
+	}
+	if slow == "" {
+		return false
+	}
+	for _, s := range c.free(now)[c.server(r.head().id).last.Domain] {
+		if !c.server(s.ID).slow && c.joinTime(s, r.model, now) <= r.model.Warm {
+			c.release(r, false, "member slow", slow, now)
+			return true
+		}
+	}
+	return false
+}
+
 // worsened looks for members that are lost, leaving or absent, and releases or
 // drops the replica for them.
 func (c *Composer) worsened(r *replica, now time.Time) bool {
--- a/internal/composition/world_test.go
+++ b/internal/composition/world_test.go
@@ -153,13 +153,18 @@
 }
 
 func (w *world) view() View {
-	v := View{Service: w.service, HasTraffic: w.traffic, Still: map[ring.Epoch]time.Duration{}, Flowing: map[ring.Epoch]bool{}}
+	v := View{Service: w.service, HasTraffic: w.traffic, Still: map[ring.Epoch]time.Duration{}, Flowing: map[ring.Epoch]bool{}, Slow: map[ring.Epoch]float64{}}
 	for _, id := range w.ids() {
 		s := w.servers[id]
 		if s.listed {
 			v.Servers = append(v.Servers, s.entry)
 		}
 		if w.traffic && s.alive && s.server.Place.State == ring.MemberOpen {
+			for _, id := range s.members {
+				if m := w.servers[id]; m != nil && m.server.Pace > 1 {
+					v.Slow[s.server.Place.Epoch] = m.server.Pace
+				}
+			}
 			if w.isWorking(s) {
 				v.Flowing[s.server.Place.Epoch] = true
 			} else {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -141,3 +141,25 @@
 	f.ObserveFirst("m", time.Hour) // a replica that stood still
 	is.True(f.First("m") > 85*time.Millisecond && f.First("m") < 120*time.Millisecond)
 }
+
+func TestReplicaWithLongPausesIsSlow(t *testing.T) {
+	is := is.New(t)
+	f := New()
+	for i, g := range []ring.Group{"a", "b", "c"} {
+		f.Put(ring.Server{ID: ring.VM(g), Service: "s", Model: "m", Place: ring.Place{Group: g, Epoch: ring.Epoch(i + 1), State: ring.MemberOpen}}, ring.Revision(i+1))
+	}
+	for _, r := range f.Replicas() {
+		f.Begin(r, 0, at(0))
+		for range 100 {
+			pause := 60 * time.Millisecond
+			if r.Group == "c" {
+				pause = 300 * time.Millisecond
+			}
+			f.ObservePause(r.Group, pause, at(100))
+		}
+	}
+	slow := f.Slow(at(200))
+	is.Equal(len(slow), 1)
+	is.True(slow[3] > 4)
+	is.Equal(len(f.Slow(at(5000))), 0) // old samples say nothing
+}
--- a/internal/fleet/flow.go
+++ b/internal/fleet/flow.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"sort"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -19,6 +20,16 @@
 	defaultFirst = 150 * time.Millisecond
 	firstWeight  = 0.05
 	maxFirst     = 400 * time.Millisecond
+	// pauseWeight is the weight of a new sample of a pause, pauseSamples how many
+	// a comparison needs, pauseAge how old the last may be, slowReplicas how many
+	// replicas a comparison needs, and slowFrom the ratio to the median from
+	// which a replica counts as slow: prompts that are read lengthen pauses up to
+	// twice.
+	pauseWeight  = 0.05
+	pauseSamples = 20
+	pauseAge     = 2 * time.Second
+	slowReplicas = 3
+	slowFrom     = 2.5
 	// suspicionSpan is how long a replica that stood still gets no requests of
 	// this node, unless an event shows that it works.
 	suspicionSpan = 3 * time.Second
@@ -33,6 +44,11 @@
 	// suspected is when a request was given up because nothing came; it counts
 	// until the next event.
 	suspected time.Time
+	// pause is the smoothed pause between the events of a stream, from so many
+	// samples; paused is the last of them.
+	pause   time.Duration
+	samples int
+	paused  time.Time
 	// last is the last event of any stream, or the start of the first request
 	// after none was there.
 	last time.Time
@@ -140,6 +156,49 @@
 	f.wake()
 }
 
+// ObservePause takes the pause between two events of a replica's stream.
+func (f *Fleet) ObservePause(g ring.Group, pause time.Duration, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w, ok := f.flow[g]
+	if !ok {
+		return
+	}
+	if w.samples == 0 {
+		w.pause = pause
+	}
+	w.samples++
+	w.paused = now
+	w.pause += time.Duration(pauseWeight * float64(pause-w.pause))
+}
+
+// Slow returns the replicas whose pauses are much longer than those of the other
+// replicas of their model, by how many times.
+func (f *Fleet) Slow(now time.Time) map[ring.Epoch]float64 {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	byModel := map[ring.Model][]*flow{}
+	for _, r := range f.replicas {
+		if w, ok := f.flow[r.Group]; ok && w.samples >= pauseSamples && now.Sub(w.paused) <= pauseAge {
+			byModel[r.Model] = append(byModel[r.Model], w)
+		}
+	}
+	out := map[ring.Epoch]float64{}
+	for _, flows := range byModel {
+		if len(flows) < slowReplicas {
+			continue
+		}
+		sort.Slice(flows, func(i, j int) bool { return flows[i].pause < flows[j].pause })
+		median := flows[len(flows)/2].pause
+		for _, w := range flows {
+			if ratio := float64(w.pause) / float64(max(median, time.Millisecond)); ratio >= slowFrom {
+				out[w.epoch] = ratio
+			}
+		}
+	}
+	return out
+}
+
 // Suspect notes that a request was given up because its replica stood still. It
 // reports whether that is news.
 func (f *Fleet) Suspect(g ring.Group, now time.Time) bool {
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -290,7 +290,9 @@
 			}
 		}
 		if !o.lastAt.IsZero() {
-			o.visit.pause = max(o.visit.pause, now.Sub(o.lastAt))
+			pause := now.Sub(o.lastAt)
+			o.visit.pause = max(o.visit.pause, pause)
+			o.front.config.Fleet.ObservePause(group, pause, now)
 		}
 		o.lastAt = now
 		o.write(e.text, now)
