--- a/internal/story/story.go
+++ b/internal/story/story.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"io"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
 
@@ -45,11 +46,24 @@
 	case string:
 		return v
 	case float64:
-		return fmt.Sprint(v)
+		return strconv.FormatFloat(v, 'f', -1, 64)
 	}
 	return ""
 }
 
+// value prints a field: whole numbers as such, and spans as durations.
+func (l line) value(field string) string {
+	number, ok := l.fields[field].(float64)
+	switch {
+	case !ok:
+		return fmt.Sprint(l.fields[field])
+	case field == "took":
+		return time.Duration(number).Round(time.Millisecond).String()
+	default:
+		return strconv.FormatFloat(number, 'f', -1, 64)
+	}
+}
+
 // Log is what was read of the logs of some nodes.
 type Log struct {
 	lines   []line
@@ -151,7 +165,7 @@
 	sort.Strings(names)
 	var b strings.Builder
 	for _, name := range names {
-		fmt.Fprintf(&b, " %s=%v", name, l.fields[name])
+		fmt.Fprintf(&b, " %s=%s", name, l.value(name))
 	}
 	return b.String()
 }
