--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := . ./cmd/backend ./cmd/bench ./cmd/eelgrass ./cmd/eelgrassd ./cmd/platform ./cmd/relay ./examples/client ./examples/cooperative ./examples/ferrando
 PACKAGES := $(addsuffix /...,$(MODULES))
 
-.PHONY: build demo hurt test up down bench lint
+.PHONY: build demo hurt test up down bench lint mutants fuzz
 
 build:
 	mkdir -p bin
@@ -31,3 +31,14 @@
 	test -z "$$(gofmt -l .)"
 	go vet $(PACKAGES)
 	go run honnef.co/go/tools/cmd/staticcheck@v0.8.2 $(PACKAGES)
+
+# Takes one guard at a time out of a scratch copy; fails if no test notices.
+mutants:
+	scripts/mutants.sh
+
+# Fuzzes every decoder for FUZZTIME each.
+FUZZTIME ?= 20s
+fuzz:
+	go test -run xxx -fuzz FuzzEventReader -fuzztime $(FUZZTIME) ./internal/gateway
+	go test -run xxx -fuzz FuzzReadServer -fuzztime $(FUZZTIME) ./platform
+	go test -run xxx -fuzz FuzzReadRouting -fuzztime $(FUZZTIME) ./platform
