node, claim, composition, gateway: tests for guards whose removal nothing noticed

Two were redundant (a restarted member has no place, an open head is adopted or partly listed) and one of them is gone; the others have tests now.

--- a/internal/composition/composer_test.go
+++ b/internal/composition/composer_test.go
@@ -234,6 +234,17 @@
 	is.True(c.server(head.ID).dead)
 }
 
+func TestOneUnansweredQuestionIsNoDeath(t *testing.T) {
+	is := is.New(t)
+	w, c := formed(t, 1)
+	id := w.headOf("large", "d0").members[2]
+	c.Step(Viewed{View: w.view()}, w.now)
+	c.Step(Inspected{ID: id}, w.now) // a packet may be lost
+	is.True(!c.server(id).dead)
+	c.Step(Inspected{ID: id}, w.now)
+	is.True(c.server(id).dead)
+}
+
 func TestEpochsGrowOverTerms(t *testing.T) {
 	is := is.New(t)
 	w, c := formed(t, 1)
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -69,16 +69,10 @@
 }
 
 // isBound reports whether a server that no known replica names may still
-// belong to one: it is a head that is open or closing, or the member of a
-// replica that is partly listed.
+// belong to one that is partly listed.
 func (c *Composer) isBound(s ring.Server) bool {
-	if c.gone[s.Place.Epoch] {
-		return false
-	}
-	if _, partial := c.partial[s.Place.Epoch]; partial {
-		return true
-	}
-	return s.Place.State == ring.MemberOpen || s.Place.State == ring.MemberClosing
+	_, partial := c.partial[s.Place.Epoch]
+	return partial && !c.gone[s.Place.Epoch]
 }
 
 // joinTime is how long the server takes to be ready under a new epoch.
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -122,7 +122,7 @@
 		Number: 1,
 		Routes: []ring.Route{
 			{Name: "read", Host: "h", Prefix: "/read/", Kind: ring.CallIdempotent, Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, Tries: 2, Portions: []ring.Portion{{Service: "app", Weight: 1}}},
-			{Name: "write", Host: "h", Prefix: "/write/", Kind: ring.CallOnce, Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, Tries: 1, Portions: []ring.Portion{{Service: "app", Weight: 1}}},
+			{Name: "write", Host: "h", Prefix: "/write/", Kind: ring.CallOnce, Timeout: 2 * time.Second, Objective: 300 * time.Millisecond, Tries: 2, Portions: []ring.Portion{{Service: "app", Weight: 1}}},
 			{Name: "draft", Host: "h", Prefix: "/draft/", Kind: ring.CallStream, Timeout: 8 * time.Second, Objective: 400 * time.Millisecond, Tries: 2, Resumable: true, Portions: []ring.Portion{{Service: "engine", Weight: 1}}},
 			{Name: "single", Host: "h", Prefix: "/single/", Kind: ring.CallStream, Timeout: 8 * time.Second, Objective: 400 * time.Millisecond, Tries: 2, Portions: []ring.Portion{{Service: "engine", Weight: 1}}},
 		},
@@ -137,7 +137,7 @@
 func newBench(t *testing.T) *bench {
 	t.Helper()
 	b := &bench{node: &testNode{table: route.NewTable(testRouting("k")), confirmed: true}, fleet: fleet.New(), ended: map[string]time.Time{}, refuse: map[string]bool{}}
-	for i, id := range []string{"a", "b"} {
+	for i, id := range []string{"a", "b", "c"} {
 		b.fleet.Put(ring.Server{ID: ring.VM(id), Service: "app", Address: id, Slots: 6}, ring.Revision(i+1))
 	}
 	for i, id := range []string{"e1", "e2"} {
@@ -369,6 +369,15 @@
 	})
 }
 
+func TestTriesAreBounded(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, b *bench) {
+		b.play = func(_ string, _ int, _ seenRequest, c net.Conn) { answer(c, 500, "id1", "bad") }
+		w, _ := b.call("GET", "/read/1", "")
+		is.Equal(w.Code, 500)
+		is.Equal(len(b.requests()), 2)
+	})
+}
+
 func TestUnreachableServerIsNoTry(t *testing.T) {
 	inBubble(t, func(t *testing.T, is *is.I, b *bench) {
 		b.refuse["a"] = true
@@ -466,6 +475,7 @@
 	for name, breaks := range map[string]func(c net.Conn){
 		"closed":          func(c net.Conn) {},
 		"in an event":     func(c net.Conn) { chunk(c, "id: 4\ndata: pie") },
+		"ended in event":  func(c net.Conn) { chunk(c, "id: 4\ndata: pie"); end(c) },
 		"event unfinshed": func(c net.Conn) { fmt.Fprint(c, "20\r\nid: 4\ndata: pie") },
 		"stands still":    func(c net.Conn) { time.Sleep(5 * time.Second) },
 	} {
