--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -19,6 +19,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -224,7 +225,7 @@
 	var wait sync.WaitGroup
 	t := a.config.Timing
 	a.routingMirror = a.newMirror(mirror.Config{
-		Prefix: a.config.Directory.RoutingKey(), Resync: t.Confirm, OnChange: a.applyRouting, OnSync: a.confirm, IsFresh: a.isConfirmed,
+		Prefix: a.config.Directory.RoutingKey(), ResyncAfter: func() time.Duration { return t.Confirm/2 + rand.N(t.Confirm) }, OnChange: a.applyRouting, OnSync: a.confirm, IsFresh: a.isConfirmed,
 		IsFollowed: a.isFollowed,
 	})
 	wait.Go(func() { a.port.Serve(a.take) })
@@ -261,8 +262,9 @@
 		}
 		return a.stretched(t.Pause, maxPause)
 	}
-	resync := c.Resync
-	c.ResyncAfter = func() time.Duration { return a.stretched(resync, maxResync) }
+	if c.ResyncAfter == nil {
+		c.ResyncAfter = func() time.Duration { return a.stretched(c.Resync, maxResync) }
+	}
 	c.OnState = func(up bool, err error) {
 		kind := event.StoreBack
 		if !up {
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -393,6 +393,29 @@
 	})
 }
 
+func TestConfigurationComesThoughTheControllerHasNoStore(t *testing.T) {
+	run(t, 30, func(is *is.I, b *bench) {
+		b.apply(1)
+		b.busy(1)
+		b.flow(time.Second)
+		for i, a := range b.agents {
+			if a.IsController() {
+				b.stores[i].Set(platform.FaultDown)
+			}
+		}
+		b.apply(2)
+		b.flow(2500 * time.Millisecond)
+		late := 0
+		for i, a := range b.agents {
+			if a.Routing().Number() != 2 {
+				late++
+				t.Logf("node %d has %d", i, a.Routing().Number())
+			}
+		}
+		is.True(late <= 1) // all but the one without a store
+	})
+}
+
 // counts are what control costs a node at a size.
 type counts struct {
 	bytes, messages int
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -26,6 +26,9 @@
 	// treeSilence is the time after which a child or a parent counts as lost.
 	// A node without a parent reports to the parent's parent.
 	treeSilence = 2500 * time.Millisecond
+	// followSilence is the time without a summary after which a node watches the
+	// store by itself.
+	followSilence = 1500 * time.Millisecond
 	// childSilence is the time after which a child no longer counts.
 	childSilence = 1300 * time.Millisecond
 	// treeBytesPerSecond is what reports and summaries of a node may cost, and
@@ -78,7 +81,7 @@
 func (a *Agent) isFollowed() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.control.Load() && len(a.peers)+1 >= treeFrom && time.Since(a.tree.heard) < treeSilence
+	return !a.control.Load() && len(a.peers)+1 >= treeFrom && time.Since(a.tree.heard) < followSilence
 }
 
 // order returns all nodes, the root first; mu is held.
@@ -169,7 +172,7 @@
 	report := a.report(now)
 	a.mu.Lock()
 	parent := a.parent(now)
-	isRoot := a.controller == a.config.Name
+	isRoot := a.control.Load() // One whose term ended must not speak for the store.
 	if isRoot {
 		a.tree.sequence++
 		a.tree.root, a.tree.heard, a.tree.nodes = a.config.Name, now, report.Nodes
