--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -62,6 +62,8 @@
 	lastOK   time.Time
 	graceEnd time.Time
 	isUp     bool
+	// failures counts the calls that failed in a row.
+	failures int
 	kick     chan struct{}
 }
 
@@ -105,7 +107,7 @@
 		case <-m.kick:
 			m.sync(ctx)
 		}
-		timer.Reset(after())
+		timer.Reset(max(after(), m.retryAfter()))
 	}
 }
 
@@ -114,10 +116,26 @@
 		if !m.isFollowed() {
 			m.watch(ctx)
 		}
-		clock.Sleep(ctx, m.config.Retry)
+		clock.Sleep(ctx, m.retryAfter())
 	}
 }
 
+// maxBackoff bounds the pause after calls that failed in a row, as a multiple of
+// the first.
+const maxBackoff = 8
+
+// retryAfter is the pause after a call: it doubles while calls fail, for each
+// refused call costs the store, too.
+func (m *Mirror) retryAfter() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	factor := time.Duration(1)
+	for i := 1; i < m.failures && factor < maxBackoff; i++ {
+		factor *= 2
+	}
+	return m.config.Retry * factor
+}
+
 func (m *Mirror) isFollowed() bool { return m.config.IsFollowed != nil && m.config.IsFollowed() }
 
 // watch lists and watches the prefix until the watch fails, or another node
@@ -226,7 +244,9 @@
 	m.mu.Lock()
 	was := m.isUp
 	m.isUp = err == nil
+	m.failures++
 	if err == nil {
+		m.failures = 0
 		if !was && now.Sub(m.lastOK) >= m.config.Outage {
 			m.graceEnd = now.Add(m.config.Grace)
 		}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -137,3 +137,19 @@
 	is.Equal(n, 1)
 	is.Equal(m.known["s/a"], ring.Revision(5))
 }
+
+func TestCallsBecomeFewWhileTheStoreIsDown(t *testing.T) {
+	run(t, func(is *is.I, b *bench) {
+		time.Sleep(time.Second)
+		b.store.Set(platform.FaultDown)
+		before := b.store.Calls()
+		time.Sleep(8 * time.Second)
+		after := b.store.Calls()
+		calls := after.Reads + after.Watches - before.Reads - before.Watches
+		is.True(calls <= 12)
+		b.store.Set(platform.FaultNone)
+		b.put("s/a", false)
+		time.Sleep(2 * time.Second)
+		is.True(b.has("s/a"))
+	})
+}
