all: grown files split by concept, one log for both adapters

agent into state, summaries and entries; composition into standbys and census; the front's tests by truth, streams and load. No behaviour changed beside the own adapter's log, which goes to standard output by the same queue.

--- a/cmd/eelgrassd/app.go
+++ b/cmd/eelgrassd/app.go
@@ -17,6 +17,7 @@
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/admin"
 	"eelgrassring.dev/internal/claim"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/engine"
 	"eelgrassring.dev/internal/etcd"
 	"eelgrassring.dev/internal/event"
@@ -54,13 +55,20 @@
 	return incarnation(strconv.FormatInt(time.Now().UnixNano(), 36))
 }
 
+// newLog writes the log to standard output, without ever holding its writers up.
 func newLog(s settings.Settings) (*event.Log, error) {
 	var level slog.Level
 	if err := level.UnmarshalText([]byte(s.Log)); err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
-	handler := slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{Level: level})
-	return event.NewLog(slog.New(handler).With("node", s.Name)), nil
+	writer := event.NewWriter(os.Stdout)
+	log := event.NewLog(slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})).With("node", s.Name))
+	go clock.Every(context.Background(), time.Second, func(context.Context) {
+		if n := writer.TakeDropped(); n > 0 {
+			log.Write(event.LinesDropped, slog.Int64("lines", n))
+		}
+	})
+	return log, nil
 }
 
 func newStore(s settings.Settings) (ring.Store, error) {
--- a/cmd/eelgrassd/routed.go
+++ b/cmd/eelgrassd/routed.go
@@ -18,7 +18,6 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/agent"
-	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/composition"
 	"eelgrassring.dev/internal/digest"
 	"eelgrassring.dev/internal/event"
@@ -59,7 +58,7 @@
 	}
 	app := fx.New(
 		fx.Supply(s),
-		fx.Provide(newIncarnation, newRoutedLog, newPlatformStore, fleet.New, newAgent, metric.New, newFront),
+		fx.Provide(newIncarnation, newLog, newPlatformStore, fleet.New, newAgent, metric.New, newFront),
 		fx.Invoke(func(l fx.Lifecycle, a *agent.Agent, f *gateway.Front, m *metric.Registry, log *event.Log) {
 			serveRouted(l, s, path, a, f, m, log)
 		}),
@@ -73,21 +72,6 @@
 	return nil
 }
 
-func newRoutedLog(s settings.Settings) (*event.Log, error) {
-	var level slog.Level
-	if err := level.UnmarshalText([]byte(s.Log)); err != nil {
-		return nil, fmt.Errorf("log level: %w", err)
-	}
-	writer := event.NewWriter(os.Stdout)
-	log := event.NewLog(slog.New(slog.NewJSONHandler(writer, &slog.HandlerOptions{Level: level})).With("node", s.Name))
-	go clock.Every(context.Background(), time.Second, func(context.Context) {
-		if n := writer.TakeDropped(); n > 0 {
-			log.Write(event.LinesDropped, slog.Int64("lines", n))
-		}
-	})
-	return log, nil
-}
-
 func newPlatformStore(s settings.Settings) ring.Store {
 	return platform.NewStore(platform.StoreConfig{Address: s.Store, Timeout: storeTimeout, WatchWait: watchWait})
 }
--- /dev/null
+++ b/internal/agent/state.go
@@ -0,0 +1,178 @@
+package agent
+
+import (
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/catalog"
+	"eelgrassring.dev/internal/clock"
+	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/mirror"
+	"eelgrassring.dev/internal/route"
+)
+
+const (
+	// nodesAtFullRate is how many nodes may read the store at the rates of
+	// Timing; more nodes read less often, up to maxPause and maxResync.
+	nodesAtFullRate = 12
+	maxPause        = 2 * time.Second
+	maxResync       = 10 * time.Second
+)
+
+// memberRecord is a node's membership in the store.
+type memberRecord struct {
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	Incarnation string `json:"incarnation"`
+}
+
+// newMirror adds what all mirrors of a node share.
+func (a *Agent) newMirror(c mirror.Config) *mirror.Mirror {
+	t := a.config.Timing
+	c.Store, c.Retry, c.Outage = a.config.Store, t.Retry, t.Outage
+	c.Pause = func() time.Duration {
+		if a.IsController() {
+			return t.ControlPause
+		}
+		return a.stretched(t.Pause, maxPause)
+	}
+	if c.ResyncAfter == nil {
+		c.ResyncAfter = func() time.Duration { return a.stretched(c.Resync, maxResync) }
+	}
+	c.OnState = func(up bool, err error) {
+		kind := event.StoreBack
+		if !up {
+			kind = event.StoreLost
+		}
+		a.log.Write(kind, slog.String("prefix", c.Prefix), slog.Any("error", err))
+	}
+	return mirror.New(c)
+}
+
+// stretched lengthens an interval with the number of nodes, so that all together
+// do not call the store more often.
+func (a *Agent) stretched(span, most time.Duration) time.Duration {
+	a.mu.Lock()
+	nodes := len(a.peers) + 1
+	a.mu.Unlock()
+	if nodes <= nodesAtFullRate {
+		return span
+	}
+	return max(span, min(span*time.Duration(nodes)/nodesAtFullRate, most))
+}
+
+// isConfirmed reports whether a peer lately read the configuration that is in
+// force here.
+func (a *Agent) isConfirmed() bool {
+	age, ok := a.ConfirmedAge()
+	return ok && age < a.config.Timing.Confirm
+}
+
+func (a *Agent) applyRouting(c ring.Change) {
+	if c.Deleted || c.Entry.Key != a.config.Directory.RoutingKey() {
+		return // What is in force stays.
+	}
+	declared, err := a.config.Directory.ReadRouting(c.Entry.Value)
+	if err != nil {
+		a.log.Write(event.ConfigurationBad, slog.Any("error", err))
+		return
+	}
+	now := a.routing.Load()
+	if now != nil && declared.Number <= now.Number() {
+		if declared.Number < now.Number() {
+			a.log.Write(event.ConfigurationOld, slog.Int64("number", declared.Number), slog.Int64("in_force", now.Number()))
+		}
+		return
+	}
+	a.routing.Store(route.NewTable(declared))
+	a.log.Write(event.ConfigurationInUse, slog.Int64("number", declared.Number), slog.Int("routes", len(declared.Routes)))
+	a.TellSoon()
+}
+
+// confirm takes an own read of the configuration.
+func (a *Agent) confirm(begun clock.Mark) {
+	if a.routing.Load() == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.confirmed.IsZero() || a.confirmed.Age() > begun.Age() {
+		a.confirmed = begun
+	}
+}
+
+func (a *Agent) applyServer(c ring.Change) {
+	id := ring.VM(strings.TrimPrefix(c.Entry.Key, a.config.Directory.ServerPrefix()))
+	if c.Deleted {
+		a.fleet.Remove(id, c.Entry.Modified)
+		a.pass(id, ring.Server{}, c.Entry.Modified, true)
+		a.log.Write(event.ServerGone, slog.String("vm", string(id)), slog.Int64("revision", int64(c.Entry.Modified)))
+		return
+	}
+	s, err := a.config.Directory.ReadServer(c.Entry.Key, c.Entry.Value)
+	if err != nil {
+		a.log.Write(event.ServerUnreadable, slog.String("vm", string(id)), slog.Any("error", err))
+		a.fleet.Remove(id, c.Entry.Modified)
+		return
+	}
+	before, known := a.fleet.Server(id)
+	a.fleet.Put(s, c.Entry.Modified)
+	a.pass(id, s, c.Entry.Modified, false)
+	if s.Leaving && !(known && before.Leaving) {
+		a.log.Write(event.VMLeaving, slog.String("vm", string(id)), slog.Int64("revision", int64(c.Entry.Modified)))
+	}
+}
+
+func (a *Agent) applyState(c ring.Change) {
+	if c.Entry.Key == catalog.ControllerKey {
+		a.mu.Lock()
+		a.taken = !c.Deleted
+		a.controller, _, _ = strings.Cut(string(c.Entry.Value), "/")
+		a.mu.Unlock()
+		return
+	}
+	name, ok := strings.CutPrefix(c.Entry.Key, catalog.NodePrefix)
+	if !ok || name == a.config.Name {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if c.Deleted {
+		delete(a.peers, name)
+		return
+	}
+	var m memberRecord
+	if err := json.Unmarshal(c.Entry.Value, &m); err != nil {
+		a.log.Write(event.PeerUnreadable, slog.String("peer", name), slog.Any("error", err))
+		return
+	}
+	if p, known := a.peers[name]; known {
+		p.address = m.Address
+		return
+	}
+	a.peers[name] = &peer{address: m.Address}
+}
+
+// noteServers keeps when the registry was last listed.
+func (a *Agent) noteServers(begun clock.Mark) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.servers = begun
+}
+
+// hasListedSince reports whether the registry was listed after the moment: a
+// controller must know all of it before it decides.
+func (a *Agent) hasListedSince(from clock.Mark) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.servers.IsZero() && a.servers.Age() < from.Age()
+}
+
+func (a *Agent) noteListed() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.listed = true
+}
--- /dev/null
+++ b/internal/agent/summary.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"sort"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
+	"eelgrassring.dev/internal/digest"
+)
+
+// report sums what this node and its children know.
+func (a *Agent) report(now time.Time) digest.Report {
+	own := a.digest(now)
+	sum := map[uint64]*digest.Share{}
+	at := func(e uint64) *digest.Share {
+		if sum[e] == nil {
+			sum[e] = &digest.Share{Epoch: e}
+		}
+		return sum[e]
+	}
+	for e, n := range own.Loads {
+		s := at(e)
+		s.Load = n
+		_, still := own.Still[e]
+		s.Flowing = !still
+	}
+	for e, ms := range own.Still {
+		s := at(e)
+		s.Still = max(s.Still, ms)
+	}
+	out := digest.Report{Name: a.config.Name, Nodes: 1, Number: own.Number, Confirmed: own.Confirmed}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.tree.reported = make(map[ring.Epoch]int, len(own.Loads))
+	for e, n := range own.Loads {
+		a.tree.reported[ring.Epoch(e)] = n
+	}
+	for name, c := range a.tree.children {
+		if now.Sub(c.heard) > childSilence {
+			delete(a.tree.children, name)
+			continue
+		}
+		out.Nodes += c.report.Nodes
+		for _, s := range c.report.Shares {
+			mine := at(s.Epoch)
+			mine.Load += s.Load
+			mine.Flowing = mine.Flowing || s.Flowing
+			mine.Still = max(mine.Still, s.Still)
+		}
+		out.Number, out.Confirmed = newest(out.Number, out.Confirmed, c.report.Number, c.report.Confirmed+now.Sub(c.heard).Milliseconds())
+	}
+	for _, s := range sum {
+		out.Shares = append(out.Shares, *s)
+	}
+	sort.Slice(out.Shares, func(i, j int) bool { return out.Shares[i].Epoch < out.Shares[j].Epoch })
+	return out
+}
+
+// newest returns the larger number with the age of its confirmation; of two
+// confirmations of the same number the younger counts.
+func newest(number, confirmed, other, otherConfirmed int64) (int64, int64) {
+	switch {
+	case other > number:
+		return other, otherConfirmed
+	case other == number && otherConfirmed >= 0 && (confirmed < 0 || otherConfirmed < confirmed):
+		return number, otherConfirmed
+	}
+	return number, confirmed
+}
+
+// hearReport takes the report of a node below.
+func (a *Agent) hearReport(from string, r *digest.Report) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.tree.children == nil {
+		a.tree.children = map[string]child{}
+	}
+	if r.Nodes == 0 {
+		delete(a.tree.children, r.Name) // It reports to another node now.
+		return
+	}
+	isNews := hasNewStill(a.tree.children[r.Name].report.Shares, r.Shares)
+	a.tree.children[r.Name] = child{address: from, heard: now, report: *r}
+	if isNews {
+		a.TellSoon()
+	}
+	if p := a.peers[r.Name]; p != nil {
+		p.heard = now
+	}
+}
+
+// hasNewStill reports whether a replica stands still now that did not before: the
+// controller should hear of it at once.
+func hasNewStill(before, now []digest.Share) bool {
+	was := map[uint64]bool{}
+	for _, s := range before {
+		was[s.Epoch] = s.Still > 0
+	}
+	for _, s := range now {
+		if s.Still > 0 && !was[s.Epoch] {
+			return true
+		}
+	}
+	return false
+}
+
+// hearSummary takes a summary and passes it on.
+func (a *Agent) hearSummary(from string, s *digest.Summary) {
+	now := time.Now()
+	a.mu.Lock()
+	if from == a.ownParent() {
+		a.tree.lift = 0
+	}
+	isOld := s.Root == a.tree.root && s.Sequence <= a.tree.sequence
+	if isOld || a.control.Load() {
+		a.mu.Unlock()
+		return
+	}
+	a.tree.root, a.tree.sequence, a.tree.heard, a.tree.nodes = s.Root, s.Sequence, now, s.Nodes
+	a.mu.Unlock()
+	a.spread(*s)
+	a.takeShares(s.Shares, now)
+	a.hearNumber(s.Number, s.Confirmed+s.Age)
+}
+
+// takeShares gives the fleet what all other nodes know.
+func (a *Agent) takeShares(shares []digest.Share, now time.Time) {
+	loads, still := map[ring.Epoch]int{}, map[ring.Epoch]time.Duration{}
+	a.mu.Lock()
+	for _, s := range shares {
+		e := ring.Epoch(s.Epoch)
+		if others := s.Load - a.tree.reported[e]; others > 0 {
+			loads[e] = others
+		}
+		if !s.Flowing {
+			still[e] = time.Duration(s.Still) * time.Millisecond
+		}
+	}
+	a.mu.Unlock()
+	a.fleet.PutPeer(treePeer, loads, still, now.Add(treeSilence))
+}
+
+// hearNumber takes what others know of the newest configuration; confirmed is
+// the age of that knowledge in milliseconds, or negative.
+func (a *Agent) hearNumber(number, confirmed int64) {
+	table := a.routing.Load()
+	switch {
+	case table == nil || number > table.Number():
+		a.routingMirror.Kick()
+	case number == table.Number() && confirmed >= 0:
+		a.confirm(clock.NewMark().Before(time.Duration(confirmed)*time.Millisecond + confirmSlack))
+	}
+}
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -44,8 +44,6 @@
 	refused  bool
 	released bool
 	refusals int
-	// lostAt is when the replica that this one replaces was lost.
-	lostAt time.Time
 }
 
 func (r *replica) head() member { return r.members[0] }
--- /dev/null
+++ b/internal/gateway/front_load_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/metric"
+)
+
+func TestReplicaThatRefusedIsLeftAlone(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, b *bench) {
+		b.play = func(server string, _ int, _ seenRequest, c net.Conn) {
+			if server == "e1" {
+				answer(c, 503, "id1", "", "T-NotRun: 1\r\n")
+				return
+			}
+			stream(c, 1, 1, "s")
+			end(c)
+		}
+		refused := 0
+		for range 6 {
+			w, _ := b.call("POST", "/draft/1", "x")
+			is.Equal(w.Code, 200)
+		}
+		for _, r := range b.requests() {
+			if r.server == "e1" {
+				refused++
+			}
+		}
+		is.True(refused <= 2)
+	})
+}
+
+func TestCallThatNoReplicaCanTakeInTimeIsRefusedSoon(t *testing.T) {
+	// Load pattern: all places are taken by long streams.
+	inBubble(t, func(t *testing.T, is *is.I, b *bench) {
+		now := time.Now()
+		for _, r := range b.fleet.Replicas() {
+			for range 4 {
+				b.fleet.Begin(r, 0, now)
+			}
+			b.fleet.Event(r.Group, true, now)
+		}
+		w, _ := b.call("POST", "/draft/1", "x")
+		is.Equal(w.Code, 503)
+		is.True(time.Since(now) < 400*time.Millisecond)
+		retry, err := time.ParseDuration(w.Header().Get("T-Retry"))
+		is.NoErr(err)
+		is.True(retry >= overloadRetry)
+		is.Equal(len(b.requests()), 0)
+	})
+}
+
+func TestCallsGoWhereThePromptsAreReadSoonest(t *testing.T) {
+	// Load pattern: one replica has fewer requests, but long prompts to read.
+	inBubble(t, func(t *testing.T, is *is.I, b *bench) {
+		b.play = func(_ string, _ int, _ seenRequest, c net.Conn) {
+			stream(c, 1, 1, "s")
+			end(c)
+		}
+		replicas := b.fleet.Replicas()
+		b.fleet.Notice(replicas[0].Epoch, 300*time.Millisecond, time.Now())
+		b.fleet.Begin(replicas[1], 0, time.Now())
+		w, _ := b.call("POST", "/draft/1", "x")
+		is.Equal(w.Code, 200)
+		is.Equal(b.requests()[0].server, "e2")
+	})
+}
+
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	// Load pattern: every server fails; retries must not double the load.
+	inBubble(t, func(t *testing.T, is *is.I, b *bench) {
+		b.front = NewFront(FrontConfig{
+			Node: b.node, Fleet: b.fleet, Dialect: testDialect{}, Log: event.NewLog(slog.New(slog.DiscardHandler)), Metrics: metric.New(),
+			RetryPart: 0.2, RetryBurst: 10, Dial: b.dial,
+		})
+		b.play = func(_ string, _ int, _ seenRequest, c net.Conn) { answer(c, 500, "id1", "bad") }
+		for range 200 {
+			b.call("GET", "/read/1", "")
+		}
+		is.True(len(b.requests()) <= 200+40+10)
+		is.True(len(b.requests()) > 200)
+	})
+}
+
+func TestHangingServerIsAvoided(t *testing.T) {
+	// Load pattern: one of two servers hangs while its health is good.
+	inBubble(t, func(t *testing.T, is *is.I, b *bench) {
+		b.play = func(server string, _ int, _ seenRequest, c net.Conn) {
+			if server == "a" {
+				time.Sleep(time.Minute)
+			}
+			time.Sleep(60 * time.Millisecond)
+			answer(c, 200, "id1", "ok")
+		}
+		good := 0
+		for range 30 {
+			if w, _ := b.call("POST", "/write/1", "x"); w.Code == 200 {
+				good++
+			}
+		}
+		is.True(good >= 26)
+	})
+}
--- /dev/null
+++ b/internal/gateway/front_stream_test.go
@@ -0,0 +1,120 @@
+package gateway
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// stream writes the head of a stream and some events.
+func stream(c net.Conn, from, to int, seal string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: id1\r\nT-Seal: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", seal)
+	for i := from; i <= to; i++ {
+		time.Sleep(50 * time.Millisecond)
+		chunk(c, fmt.Sprintf("id: %d\ndata: piece %d\n\n", i, i))
+	}
+}
+
+func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+
+func end(c net.Conn) { fmt.Fprint(c, "0\r\n\r\n") }
+
+func pieces(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: piece %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestStreamGoesOnAtAnotherReplicaWithoutGapOrDouble(t *testing.T) {
+	for name, breaks := range map[string]func(c net.Conn){
+		"closed":          func(c net.Conn) {},
+		"in an event":     func(c net.Conn) { chunk(c, "id: 4\ndata: pie") },
+		"ended in event":  func(c net.Conn) { chunk(c, "id: 4\ndata: pie"); end(c) },
+		"event unfinshed": func(c net.Conn) { fmt.Fprint(c, "20\r\nid: 4\ndata: pie") },
+		"stands still":    func(c net.Conn) { time.Sleep(5 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, is *is.I, b *bench) {
+				b.play = func(_ string, n int, r seenRequest, c net.Conn) {
+					if n == 1 {
+						stream(c, 1, 3, "first")
+						breaks(c)
+						return
+					}
+					is.Equal(r.header.Get("Last-Event-Id"), "3")
+					stream(c, 3, 6, "second") // It repeats one that the caller has.
+					end(c)
+				}
+				w, broken := b.call("POST", "/draft/1", "x")
+				is.True(!broken)
+				is.Equal(w.Body.String(), pieces(6))
+				is.Equal(w.Header().Get("T-Seal"), "first")
+				got := b.requests()
+				is.Equal(len(got), 2)
+				is.True(got[0].server != got[1].server)
+			})
+		})
+	}
+}
+
+func TestStreamThatCannotGoOnNeverLooksWhole(t *testing.T) {
+	for _, target := range []string{"/single/1", "/draft/1"} {
+		inBubble(t, func(t *testing.T, is *is.I, b *bench) {
+			b.play = func(_ string, n int, _ seenRequest, c net.Conn) { stream(c, 1+3*(n-1), 3*n, "s") }
+			w, broken := b.call("POST", target, "x")
+			is.True(broken)
+			want := map[string]int{"/single/1": 1, "/draft/1": 2}[target]
+			is.Equal(len(b.requests()), want)
+			is.Equal(w.Body.String(), pieces(3*want))
+		})
+	}
+}
+
+func TestStreamBeforeItsFirstEventGoesElsewhereWhenTheReplicaIsStill(t *testing.T) {
+	inBubble(t, func(t *testing.T, is *is.I, b *bench) {
+		b.play = func(_ string, n int, _ seenRequest, c net.Conn) {
+			if n == 1 {
+				time.Sleep(7 * time.Second)
+				return
+			}
+			stream(c, 1, 2, "s")
+			end(c)
+		}
+		begin := time.Now()
+		w, broken := b.call("POST", "/draft/1", "x")
+		is.True(!broken)
+		is.Equal(w.Body.String(), pieces(2))
+		is.True(time.Since(begin) < 1500*time.Millisecond)
+	})
+}
+
+func FuzzEventReader(f *testing.F) {
+	f.Add("id: 1\ndata: x\n\nid: 2\ndata: y\n\n")
+	f.Add("id: 1\r\ndata: x\r\n\r\n")
+	f.Add("id: 1\ndata: x")
+	f.Add("\n\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := newEventReader(strings.NewReader(text))
+		var whole strings.Builder
+		for {
+			e, err := r.next()
+			if err != nil {
+				if errors.Is(err, errStreamEnd) && whole.String() != text {
+					t.Fatalf("a stream that ended whole lost bytes: %q of %q", whole.String(), text)
+				}
+				break
+			}
+			whole.Write(e.text)
+		}
+		if !strings.HasPrefix(text, whole.String()) {
+			t.Fatalf("%q is no beginning of %q", whole.String(), text)
+		}
+	})
+}
