--- a/internal/agent/state.go
+++ b/internal/agent/state.go
@@ -90,6 +90,9 @@
 	a.routing.Store(route.NewTable(declared))
 	a.log.Write(event.ConfigurationInUse, slog.Int64("number", declared.Number), slog.Int("routes", len(declared.Routes)))
 	a.TellSoon()
+	if _, confirmed := a.ConfirmedAge(); !confirmed {
+		a.routingMirror.Kick() // A node that has just got its first one is ready once it is confirmed.
+	}
 }
 
 // confirm takes an own read of the configuration.
