all: a reading of the change: twins called, dead state gone, one order

Members were put in rank by up to 1024 passes; - state and arguments that nobody read are gone: refusals, failures, the time of an answer, a peer's draining, a summary's age, a view's load, a candidate's own load, PassTime, and `began`, which says no more than tries above 0. Left as it is: election beside the campaign in node/control.go, which belongs to the two ways through the product that docs/PLATFORM.md names.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -104,8 +104,8 @@
 	Close() error
 }
 
-// Config configures an Agent. Port may lose messages. Revocation is the bound within which a revoked
-// key must be refused.
+// Config configures an Agent. Port may lose messages. Revocation is the bound
+// within which a revoked key must be refused.
 type Config struct {
 	Name        string
 	Incarnation string
@@ -155,9 +155,8 @@
 
 // peer is another node. Its address comes from its membership.
 type peer struct {
-	address  string
-	heard    time.Time
-	draining bool
+	address string
+	heard   time.Time
 }
 
 // New returns an agent; Run starts its loops.
--- a/internal/agent/govern.go
+++ b/internal/agent/govern.go
@@ -98,15 +98,14 @@
 		return
 	}
 	now := time.Now()
-	load := g.agent.fleet.Traffic(now)
-	g.hasTraffic = g.hasTraffic || len(load) > 0
+	g.hasTraffic = g.hasTraffic || g.agent.fleet.HasTraffic(now)
 	still := g.agent.fleet.Still(now)
 	for _, service := range table.Services() {
 		if len(service.Models) == 0 {
 			continue
 		}
 		view := composition.View{
-			Servers: g.agent.fleet.Servers(service.Name), Service: service, Still: still, Flowing: g.agent.fleet.Flowing(now), Slow: g.agent.fleet.Slow(now), Load: load, HasTraffic: g.hasTraffic,
+			Servers: g.agent.fleet.Servers(service.Name), Service: service, Still: still, Flowing: g.agent.fleet.Flowing(now), Slow: g.agent.fleet.Slow(now), HasTraffic: g.hasTraffic,
 		}
 		g.perform(ctx, service.Name, g.composer(service.Name).Step(composition.Viewed{View: view}, now))
 	}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -134,17 +134,22 @@
 	}
 }
 
+// post sends a message and returns its bytes.
+func (a *Agent) post(address string, m digest.Message) int {
+	n, err := a.port.Send(address, m)
+	if err != nil {
+		a.log.Write(event.DigestFailed, slog.String("address", address), slog.Any("error", err))
+		return 0
+	}
+	return n + datagramOverhead
+}
+
 // tell sends one digest to every peer and returns the bytes that it took.
 func (a *Agent) tell() int {
 	message := digest.Message{Digest: a.digest(time.Now())}
 	spent := 0
 	for _, address := range a.addresses() {
-		n, err := a.port.Send(address, message)
-		if err != nil {
-			a.log.Write(event.DigestFailed, slog.String("address", address), slog.Any("error", err))
-			continue
-		}
-		spent += n + datagramOverhead
+		spent += a.post(address, message)
 	}
 	return spent
 }
@@ -160,9 +165,7 @@
 		if !a.noticeBytes.AllowN(time.Now(), noticeSize) {
 			return
 		}
-		if _, err := a.port.Send(address, message); err != nil {
-			a.log.Write(event.DigestFailed, slog.String("address", address), slog.Any("error", err))
-		}
+		a.post(address, message)
 	}
 }
 
@@ -254,7 +257,7 @@
 		a.peers[d.Name] = p
 	}
 	wasLost := now.Sub(p.heard) > peerSilence
-	p.heard, p.draining, p.address = now, d.Draining, from
+	p.heard, p.address = now, from
 	a.mu.Unlock()
 	if wasLost {
 		a.log.Write(event.PeerFound, slog.String("peer", d.Name), slog.String("incarnation", d.Incarnation))
@@ -267,9 +270,7 @@
 	defer cancel()
 	s, err := a.config.Control.Inspect(ctx, q.Address)
 	reply := digest.Reply{ID: q.ID, Answered: err == nil, Incarnation: s.Incarnation}
-	if _, err := a.port.Send(from, digest.Message{Reply: &reply}); err != nil {
-		a.log.Write(event.DigestFailed, slog.String("address", from), slog.Any("error", err))
-	}
+	a.post(from, digest.Message{Reply: &reply})
 }
 
 // askPeers asks all live peers to reach a backend server and returns the first
--- a/internal/agent/summary.go
+++ b/internal/agent/summary.go
@@ -122,7 +122,7 @@
 	a.mu.Unlock()
 	a.spread(*s)
 	a.takeShares(s.Shares, now)
-	a.hearNumber(s.Number, s.Confirmed+s.Age)
+	a.hearNumber(s.Number, s.Confirmed)
 }
 
 // takeShares gives the fleet what all other nodes know.
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -1,14 +1,12 @@
 package agent
 
 import (
-	"log/slog"
 	"slices"
 	"sort"
 	"time"
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/digest"
-	"eelgrassring.dev/internal/event"
 )
 
 // Above treeFrom nodes, digests travel by a tree and not from each node to each:
@@ -72,15 +70,19 @@
 func (a *Agent) isTree() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return len(a.peers)+1 >= treeFrom
+	return a.isLarge()
 }
 
+// isLarge reports whether there are too many nodes for messages of each to each;
+// mu is held.
+func (a *Agent) isLarge() bool { return len(a.peers)+1 >= treeFrom }
+
 // isFollowed reports whether the registry's changes come from the root, so that
 // this node need not watch it.
 func (a *Agent) isFollowed() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.control.Load() && len(a.peers)+1 >= treeFrom && time.Since(a.tree.heard) < followSilence
+	return !a.control.Load() && a.isLarge() && time.Since(a.tree.heard) < followSilence
 }
 
 // order returns all nodes, the root first; mu is held.
@@ -199,16 +201,6 @@
 	return spent + a.spreadEntries(entries)
 }
 
-// post sends a message and returns its bytes.
-func (a *Agent) post(address string, m digest.Message) int {
-	n, err := a.port.Send(address, m)
-	if err != nil {
-		a.log.Write(event.DigestFailed, slog.String("address", address), slog.Any("error", err))
-		return 0
-	}
-	return n + datagramOverhead
-}
-
 // spread sends a summary to the nodes below and returns its bytes. Those below in
 // the order get each one; others, which report here because their parent is
 // silent, as long as the bytes for it last.
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -115,9 +115,7 @@
 	misses  int
 	askedAt time.Time
 	asking  bool
-	// answered is when the server last answered a question.
-	answered time.Time
-	dead     bool
+	dead    bool
 	// slow is set while the server says that it is slower than it should be.
 	slow bool
 	// leaving is set when the server said that it is about to end.
@@ -126,7 +124,6 @@
 	ordered   ring.Epoch
 	orderKind ring.OrderKind
 	orderedAt time.Time
-	failures  int
 	// boundUntil is until when a head that is not listed may count on the
 	// server.
 	boundUntil time.Time
@@ -146,7 +143,7 @@
 		c.see(e.View, now)
 		c.decide(now)
 	case Inspected:
-		c.inspected(e, now)
+		c.inspected(e)
 	case Ordered:
 		c.ordered(e, now)
 	}
@@ -190,11 +187,11 @@
 	}
 }
 
-func (c *Composer) inspected(e Inspected, now time.Time) {
+func (c *Composer) inspected(e Inspected) {
 	s := c.server(e.ID)
 	s.asking = false
 	if e.Answered {
-		s.misses, s.dead, s.answered, s.leaving = 0, false, now, e.Leaving
+		s.misses, s.dead, s.leaving = 0, false, e.Leaving
 		s.slow = e.Server.Pace >= c.options.SlowPace
 		if e.Server.Incarnation != "" && e.Server.Incarnation != s.incarnation {
 			// The process at the address is another one.
@@ -223,18 +220,14 @@
 	r, known := c.replicas[e.Order.Epoch]
 	switch {
 	case e.Outcome == OutcomeDone:
-		s.failures = 0
 		if known && e.Order.Kind == ring.OrderLeave {
 			r.released = true
 		}
 	case e.Outcome == OutcomeUnknown:
-		s.failures++
 		c.ask(e.ID, now)
 	case known && e.Order.Kind == ring.OrderJoin:
 		// The member will not come: it has seen a larger epoch, or does not fit.
 		r.refused = true
-	case known && e.Order.Kind == ring.OrderLeave:
-		r.refusals++
 	}
 }
 
@@ -308,33 +301,32 @@
 
 // isFlowing reports whether the server heads a replica whose streams go on.
 func (c *Composer) isFlowing(id ring.VM) bool {
-	for _, r := range c.replicas {
-		if r.head().id == id && c.view.Flowing[r.epoch] {
-			return true
-		}
-	}
-	return false
+	r := c.replicaOf(id)
+	return r != nil && r.head().id == id && c.view.Flowing[r.epoch]
 }
 
 // isStill reports whether the server is a member of a replica that stands
 // still: with that one unanswered question is enough.
 func (c *Composer) isStill(id ring.VM) bool {
-	for _, r := range c.replicas {
-		if c.view.Still[r.epoch] > 0 && r.has(id) {
-			return true
-		}
-	}
-	return false
+	r := c.replicaOf(id)
+	return r != nil && c.view.Still[r.epoch] > 0
 }
 
 // isHead reports whether the server is the head of a replica that may be open.
 func (c *Composer) isHead(id ring.VM) bool {
+	r := c.replicaOf(id)
+	return r != nil && r.head().id == id && r.phase != phaseForming
+}
+
+// replicaOf returns the replica that names the server, or nil; there is at most
+// one, for only free servers are taken.
+func (c *Composer) replicaOf(id ring.VM) *replica {
 	for _, r := range c.replicas {
-		if r.head().id == id && r.phase != phaseForming {
-			return true
+		if r.has(id) {
+			return r
 		}
 	}
-	return false
+	return nil
 }
 
 func (c *Composer) model(name ring.Model) (ring.ReplicaModel, bool) {
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -42,9 +42,7 @@
 	// Slow are the replicas whose streams are much slower than those of others of
 	// their model, by how many times.
 	Slow map[ring.Epoch]float64
-	// Load is the number of requests by model; HasTraffic is set once there
-	// has been any.
-	Load       map[ring.Model]int
+	// HasTraffic is set once there have been requests.
 	HasTraffic bool
 }
 
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -1,6 +1,9 @@
 package composition
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -40,10 +43,9 @@
 	// soft is set while a releasing head may finish its requests.
 	soft bool
 	// refused is set when a member will not join, released when the head gave
-	// the replica up; refusals counts leaves that were refused.
+	// the replica up.
 	refused  bool
 	released bool
-	refusals int
 }
 
 func (r *replica) head() member { return r.members[0] }
@@ -110,8 +112,8 @@
 		}
 		found[s.Place.Epoch] = append(found[s.Place.Epoch], s)
 	}
-	for epoch, servers := range found {
-		c.adoptOne(epoch, servers, now)
+	for _, epoch := range slices.Sorted(maps.Keys(found)) {
+		c.adoptOne(epoch, found[epoch], now)
 	}
 }
 
@@ -198,13 +200,11 @@
 
 // inRank orders members by rank, the head first.
 func inRank(servers []ring.Server) []member {
-	out := make([]member, 0, len(servers))
-	for rank := 0; len(out) < len(servers) && rank < 1024; rank++ {
-		for _, s := range servers {
-			if s.Place.Rank == rank {
-				out = append(out, member{s.ID, s.Incarnation})
-			}
-		}
+	sorted := slices.Clone(servers)
+	slices.SortStableFunc(sorted, func(a, b ring.Server) int { return cmp.Compare(a.Place.Rank, b.Place.Rank) })
+	out := make([]member, len(sorted))
+	for i, s := range sorted {
+		out[i] = member{s.ID, s.Incarnation}
 	}
 	return out
 }
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -78,13 +78,11 @@
 	Shares    []Share
 }
 
-// Summary tells the nodes below what all know. Sequence grows at the root, Age
-// is how many milliseconds ago the root sent it.
+// Summary tells the nodes below what all know. Sequence grows at the root.
 type Summary struct {
 	_         struct{} `cbor:",toarray"`
 	Root      string
 	Sequence  uint64
-	Age       int64
 	Nodes     int
 	Number    int64
 	Confirmed int64
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -195,7 +195,6 @@
 // Candidate is a replica that may get a request, with its load.
 type Candidate struct {
 	Replica Replica
-	Own     int
 	Load    int
 	// Reading is how long the replica reads the prompts that it has.
 	Reading time.Duration
@@ -219,7 +218,7 @@
 			continue
 		}
 		out = append(out, Candidate{
-			Replica: r, Own: own, Load: own + f.peerLoad(r.Epoch, now), Reading: max(f.reading[r.Epoch].Sub(now), 0),
+			Replica: r, Load: own + f.peerLoad(r.Epoch, now), Reading: max(f.reading[r.Epoch].Sub(now), 0),
 		})
 	}
 	return out
--- a/internal/fleet/flow.go
+++ b/internal/fleet/flow.go
@@ -306,19 +306,14 @@
 	return longest, longest > StillAfter
 }
 
-// Traffic returns the requests of all nodes by model.
-func (f *Fleet) Traffic(now time.Time) map[ring.Model]int {
+// HasTraffic reports whether any node has requests at a replica.
+func (f *Fleet) HasTraffic(now time.Time) bool {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	out := map[ring.Model]int{}
 	for _, r := range f.replicas {
-		load := f.peerLoad(r.Epoch, now)
-		if w, ok := f.flow[r.Group]; ok {
-			load += w.outstanding
-		}
-		if load > 0 {
-			out[r.Model] += load
+		if w, ok := f.flow[r.Group]; (ok && w.outstanding > 0) || f.peerLoad(r.Epoch, now) > 0 {
+			return true
 		}
 	}
-	return out
+	return false
 }
--- a/internal/gateway/line.go
+++ b/internal/gateway/line.go
@@ -61,10 +61,10 @@
 // answered within its objective waits for a place where it will be; after that,
 // or for a call that comes back too late for it, only places that nobody else
 // needs are taken.
-func (l *line) acquire(ctx context.Context, v *visit, passed map[ring.Group]bool, began bool) (fleet.Replica, *ring.Failure) {
+func (l *line) acquire(ctx context.Context, v *visit, passed map[ring.Group]bool) (fleet.Replica, *ring.Failure) {
 	begin := time.Now()
 	read := l.readTime(v)
-	until := l.waitUntil(v, read, begin, began)
+	until := l.waitUntil(v, read, begin)
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	poll := time.NewTicker(pollInterval)
@@ -73,7 +73,7 @@
 		changed := l.fleet.Changed()
 		now := time.Now()
 		candidates := l.fleet.Candidates(v.service.Name, v.header.Model, passed, now)
-		limit := l.limitOf(v, read, now, began)
+		limit := l.limitOf(v, read, now)
 		if c, ok := l.choose(candidates, limit); ok {
 			l.fleet.Begin(c.Replica, read, now)
 			if read >= noticeFrom {
@@ -105,10 +105,10 @@
 }
 
 // waitUntil returns how long the call may wait for a place.
-func (l *line) waitUntil(v *visit, read time.Duration, now time.Time, began bool) time.Time {
+func (l *line) waitUntil(v *visit, read time.Duration, now time.Time) time.Time {
 	until := v.begin.Add(v.route.Objective - l.fleet.First(v.header.Model) - read)
 	switch {
-	case began || v.tries > 0:
+	case v.tries > 0:
 		until = v.deadline.Add(-resumeMargin)
 	case l.isLate(v, read, now):
 		until = now.Add(lateWait)
@@ -127,8 +127,8 @@
 
 // limitOf returns what a place must offer: to a call in time, an answer within
 // its objective; to a late one, room that calls in time do not need.
-func (l *line) limitOf(v *visit, read time.Duration, now time.Time, began bool) placeLimit {
-	if began || v.tries > 0 {
+func (l *line) limitOf(v *visit, read time.Duration, now time.Time) placeLimit {
+	if v.tries > 0 {
 		return placeLimit{load: v.service.Slots, reading: v.route.Objective}
 	}
 	if l.isLate(v, read, now) {
--- a/internal/gateway/plain.go
+++ b/internal/gateway/plain.go
@@ -63,8 +63,12 @@
 
 // score orders servers: the lowest goes first.
 func (r *record) score(s ring.Server, now time.Time) float64 {
-	decayed := r.failures * math.Exp2(-float64(now.Sub(r.failedAt))/float64(failureHalfLife))
-	return (float64(r.running)+slowerWeight*r.mean)/float64(max(s.Slots, 1)) + failureWeight*decayed
+	return (float64(r.running)+slowerWeight*r.mean)/float64(max(s.Slots, 1)) + failureWeight*r.recent(now)
+}
+
+// recent returns the server's failures, each weighed by its age.
+func (r *record) recent(now time.Time) float64 {
+	return r.failures * math.Exp2(-float64(now.Sub(r.failedAt))/float64(failureHalfLife))
 }
 
 // take chooses the best server that was not tried and counts the request.
@@ -95,7 +99,7 @@
 	one := r.of(s)
 	one.running = max(one.running-1, 0)
 	if failure > 0 {
-		one.failures = one.failures*math.Exp2(-float64(now.Sub(one.failedAt))/float64(failureHalfLife)) + failure
+		one.failures = one.recent(now) + failure
 		one.failedAt = now
 		return
 	}
--- a/internal/gateway/replica.go
+++ b/internal/gateway/replica.go
@@ -45,7 +45,7 @@
 		if failure := f.again(v); failure != nil {
 			return out.end(failure)
 		}
-		chosen, failure := f.waits.acquire(r.Context(), v, passed, out.began)
+		chosen, failure := f.waits.acquire(r.Context(), v, passed)
 		if failure != nil {
 			if last == nil || v.tries == 0 {
 				last = failure
--- a/internal/routing/engine.go
+++ b/internal/routing/engine.go
@@ -21,13 +21,6 @@
 	return time.Duration((seconds*readSlack + pairs) * pace(m) * float64(time.Second))
 }
 
-// PassTime returns how long a pass takes in which so many requests write, each
-// with so many tokens of context.
-func PassTime(r ring.EngineRates, m ring.ReplicaModel, writers, context int) time.Duration {
-	step := r.Step + time.Duration(writers)*(r.PerSequence+time.Duration(float64(context)/1000*float64(r.PerContext)))
-	return time.Duration(float64(max(r.Stride, 1)) * pace(m) * float64(step))
-}
-
 func pace(m ring.ReplicaModel) float64 {
 	if m.Pace <= 0 {
 		return 1
