composition: members leave a replica whose head may be open before they move

Cause: when the head of a replica stopped answering, the controller considered it dead and gave its members to other replicas. A late order could likewise reopen a head that had closed, or open one of a dropped replica.

Change: the end of a replica records what is known of its head. If the head may be open, each member confirms that it has left before it may join another replica. If no member responds, the replica counts as out of sight and is adopted again when its servers return, with its requests. A head that has finished its requests is ordered to leave as well.

--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -97,9 +97,9 @@
 	listedChangedAt time.Time
 	// replicas holds the replicas from their forming or adoption to their end.
 	replicas map[ring.Epoch]*replica
-	// dropped holds the replicas that ended or never opened; registry entries of
+	// ended holds the replicas that ended or never opened; registry entries of
 	// their members may still name them.
-	dropped map[ring.Epoch]bool
+	ended map[ring.Epoch]replicaEnd
 	// incomplete holds the replicas of earlier controllers that have a member without
 	// a registry entry. It maps each to the time when this was first seen.
 	incomplete map[ring.Epoch]time.Time
@@ -119,7 +119,7 @@
 func New(c Config) *Composer {
 	return &Composer{
 		options: c.Options, epoch: ring.Epoch(c.Term) * epochsPerTerm,
-		listed: map[ring.VM]ring.Server{}, replicas: map[ring.Epoch]*replica{}, dropped: map[ring.Epoch]bool{}, incomplete: map[ring.Epoch]time.Time{}, missingSince: map[domainModel]time.Time{}, servers: map[ring.VM]*serverState{},
+		listed: map[ring.VM]ring.Server{}, replicas: map[ring.Epoch]*replica{}, ended: map[ring.Epoch]replicaEnd{}, incomplete: map[ring.Epoch]time.Time{}, missingSince: map[domainModel]time.Time{}, servers: map[ring.VM]*serverState{},
 	}
 }
 
@@ -142,6 +142,8 @@
 	lastOrderEpoch ring.Epoch
 	lastOrderKind  ring.OrderKind
 	lastOrderAt    time.Time
+	// leftEpoch is the last replica that the server confirmed it is no longer in.
+	leftEpoch ring.Epoch
 	// inUseUntil is the time until which a head that is not listed may still use the
 	// server as a member.
 	inUseUntil time.Time
@@ -250,11 +252,16 @@
 	r, known := c.replicas[e.Order.Epoch]
 	switch {
 	case e.Outcome == OutcomeDone:
+		if e.Order.Kind == ring.OrderLeave {
+			s.leftEpoch = e.Order.Epoch
+		}
 		if known && e.Order.Kind == ring.OrderLeave {
 			r.isReleased = true
 		}
 	case e.Outcome == OutcomeUnknown:
 		c.addInspection(e.ID, now)
+	case e.Order.Kind == ring.OrderLeave:
+		s.leftEpoch = e.Order.Epoch // The server refuses because it is not in the replica.
 	case known && e.Order.Kind == ring.OrderJoin:
 		// The member will not join: it has seen a larger epoch or refuses the order.
 		r.isJoinRefused = true
@@ -277,6 +284,7 @@
 	if !c.view.HasTraffic && now.Before(c.listedChangedAt.Add(c.options.SettleTime)) {
 		return // More servers may register; planning for the first few could leave the others without a replica.
 	}
+	c.orderFormerMembersToLeave(now)
 	c.updateMissing(now)
 	c.formReplicas(now)
 	c.assignStandbys(now)
@@ -341,7 +349,8 @@
 	if r, known := c.replicas[e]; known {
 		return r.phase == phaseReleasing
 	}
-	return c.dropped[e]
+	_, ended := c.ended[e]
+	return ended
 }
 
 // isListed reports whether the server has a registry entry in the current view.
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -53,7 +53,7 @@
 
 // freeServers returns, by fabric domain, the listed servers that can be assigned to a
 // replica. These are in no replica, neither leaving nor dead, and not possibly still
-// in use by an unlisted head.
+// in use by the head of an earlier replica.
 func (c *Composer) freeServers(now time.Time) map[ring.Domain][]ring.Server {
 	assigned := map[ring.VM]bool{}
 	for _, r := range c.replicas {
@@ -63,7 +63,7 @@
 	}
 	out := map[ring.Domain][]ring.Server{}
 	for _, s := range c.view.Servers {
-		if assigned[s.ID] || s.Leaving || c.server(s.ID).dead || c.mayBeInUse(s) || now.Before(c.server(s.ID).inUseUntil) {
+		if assigned[s.ID] || s.Leaving || c.server(s.ID).dead || c.mayBeInUse(s) || c.mustLeaveFirst(s) || now.Before(c.server(s.ID).inUseUntil) {
 			continue
 		}
 		out[s.Domain] = append(out[s.Domain], s)
@@ -75,7 +75,26 @@
 // unlisted members and may still be open.
 func (c *Composer) mayBeInUse(s ring.Server) bool {
 	_, incomplete := c.incomplete[s.Membership.Epoch]
-	return incomplete && !c.dropped[s.Membership.Epoch]
+	end, ended := c.ended[s.Membership.Epoch]
+	return incomplete && (!ended || end == endOutOfSight)
+}
+
+// mustLeaveFirst reports whether the server's registry entry names an ended replica
+// whose head may still be open. The server may join another replica only after it has
+// left that one, because the head would go on to use it.
+func (c *Composer) mustLeaveFirst(s ring.Server) bool {
+	end, ended := c.ended[s.Membership.Epoch]
+	return ended && end == endHeadMayBeOpen && c.server(s.ID).leftEpoch != s.Membership.Epoch
+}
+
+// orderFormerMembersToLeave orders the servers that must leave an ended replica to do
+// so, except those that would not receive the order or are about to stop.
+func (c *Composer) orderFormerMembersToLeave(now time.Time) {
+	for _, s := range c.view.Servers {
+		if c.mustLeaveFirst(s) && !s.Leaving && !c.server(s.ID).dead {
+			c.addOrder(s.ID, ring.ReplicaOrder{Kind: ring.OrderLeave, Group: s.Membership.Group, Epoch: s.Membership.Epoch}, now)
+		}
+	}
 }
 
 // joinTime estimates the time from an order to join a new replica of the model until
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -25,6 +25,21 @@
 	phaseReleasing phase = "releasing"
 )
 
+// replicaEnd says what is known about the head of a replica that has ended.
+type replicaEnd string
+
+const (
+	// endHeadDone: the head never opened, has left the replica, is broken or has
+	// restarted. The members may join other replicas.
+	endHeadDone replicaEnd = "done"
+	// endHeadMayBeOpen: the head does not respond, or a late order may still open it.
+	// The members must leave the replica before they join another one.
+	endHeadMayBeOpen replicaEnd = "may be open"
+	// endOutOfSight: neither the head nor another member responds. If they return,
+	// the replica is adopted again, as it may have continued meanwhile.
+	endOutOfSight replicaEnd = "out of sight"
+)
+
 // member identifies a server process in a replica. A restarted server has another
 // incarnation and is no longer the same member.
 type member struct {
@@ -51,9 +66,12 @@
 	stalledSince time.Time
 	// isGraceful is set while a releasing head may finish its requests.
 	isGraceful bool
+	// isAdopted is set if an earlier controller formed the replica. Orders of that
+	// controller may still arrive late.
+	isAdopted bool
 	// isJoinRefused is set when a member refused to join.
 	isJoinRefused bool
-	// isReleased is set when the head has left the replica.
+	// isReleased is set when the head has confirmed that it left the replica.
 	isReleased bool
 }
 
@@ -118,12 +136,16 @@
 	return statusGood
 }
 
-// adoptReplicas takes over the replicas of earlier controllers. These are the
-// replicas that registry entries name but the composer does not know.
+// adoptReplicas takes over the replicas of earlier controllers, and those of this one
+// whose members all were out of sight and respond again. These are the replicas that
+// registry entries name but the composer does not know.
 func (c *Composer) adoptReplicas(now time.Time) {
 	found := map[ring.Epoch][]ring.Server{}
 	for _, s := range c.view.Servers {
-		if s.Membership.Group == "" || s.Membership.IsStandby() || c.replicas[s.Membership.Epoch] != nil || c.dropped[s.Membership.Epoch] {
+		if s.Membership.Group == "" || s.Membership.IsStandby() || c.replicas[s.Membership.Epoch] != nil {
+			continue
+		}
+		if end, ended := c.ended[s.Membership.Epoch]; ended && (end != endOutOfSight || c.server(s.ID).dead) {
 			continue
 		}
 		found[s.Membership.Epoch] = append(found[s.Membership.Epoch], s)
@@ -150,14 +172,14 @@
 		model = ring.ReplicaModel{Name: modelOf(servers), Size: len(servers)}
 	}
 	isHeadServing := head.Membership.State == ring.MemberOpen || head.Membership.State == ring.MemberClosing
-	r := &replica{group: servers[0].Membership.Group, epoch: epoch, model: model, startedAt: now, deadline: now.Add(model.LoadTime + c.options.JoinSlack)}
+	r := &replica{group: servers[0].Membership.Group, epoch: epoch, model: model, isAdopted: true, startedAt: now, deadline: now.Add(model.LoadTime + c.options.JoinSlack)}
 	r.members = membersByRank(servers)
 	isComplete := len(r.members) == model.Size && head.ID != ""
 	switch {
 	case isComplete:
 		delete(c.incomplete, epoch)
 	case head.ID != "" && !isHeadServing:
-		c.dropped[epoch] = true // It never opened or is closed, so it serves no requests.
+		c.ended[epoch] = endOfUnopened(head) // It serves no requests now.
 		return
 	case !c.isGraceExpired(epoch, now):
 		return
@@ -173,13 +195,23 @@
 	case isComplete && head.Membership.State != ring.MemberBroken:
 		r.phase = phaseForming
 	default:
-		c.dropped[epoch] = true
+		c.ended[epoch] = endOfUnopened(head)
 		return
 	}
+	delete(c.ended, epoch)
 	c.replicas[epoch] = r
 	c.addDecision(Decision{Group: r.group, Epoch: epoch, Model: model.Name, What: "adopted as " + string(r.phase)})
 }
 
+// endOfUnopened returns the end of an earlier controller's replica whose head is
+// listed and not open. If the head is not broken, a late order may still open it.
+func endOfUnopened(head ring.Server) replicaEnd {
+	if head.Membership.State == ring.MemberBroken {
+		return endHeadDone
+	}
+	return endHeadMayBeOpen
+}
+
 // isGraceExpired reports whether members of a replica of an earlier controller have
 // been missing from the registry for longer than EntryGrace. The first call for a
 // replica starts the period and returns false.
@@ -200,7 +232,7 @@
 func (c *Composer) freeMembersOfUnlistedHead(epoch ring.Epoch, servers []ring.Server, now time.Time) {
 	until := c.incomplete[epoch].Add(c.options.EntryGrace + c.options.BreakTimeout)
 	if now.After(until) {
-		c.dropped[epoch] = true
+		c.ended[epoch] = endHeadDone
 		c.addDecision(Decision{Group: servers[0].Membership.Group, Epoch: epoch, Model: modelOf(servers), What: "members freed: head not listed"})
 		return
 	}
@@ -249,15 +281,34 @@
 	}
 }
 
-// drop ends a replica without an order to its members and logs the reason. The
-// members become free for other replicas; vm is the server that caused the end, if
-// any.
+// drop ends a replica and logs the reason. The members become free for other
+// replicas, after they have left this one if its head may still be open; vm is the
+// server that caused the end, if any.
 func (c *Composer) drop(r *replica, reason string, vm ring.VM, now time.Time) {
 	delete(c.replicas, r.epoch)
-	c.dropped[r.epoch] = true
+	delete(c.incomplete, r.epoch)
+	c.ended[r.epoch] = c.endOf(r)
 	c.addDecision(Decision{Group: r.group, Epoch: r.epoch, Model: r.model.Name, What: reason, VM: vm, Took: now.Sub(r.startedAt)})
 }
 
+// endOf returns what is known about the head of a replica that ends now.
+func (c *Composer) endOf(r *replica) replicaEnd {
+	head := r.head()
+	entry, listed := c.listed[head.id]
+	hasNeverOpened := r.phase == phaseForming && !r.isAdopted
+	isElsewhere := listed && (entry.Incarnation != head.incarnation || entry.Membership.Epoch != r.epoch)
+	isBroken := listed && entry.Membership.State == ring.MemberBroken
+	if hasNeverOpened || r.isReleased || isElsewhere || isBroken {
+		return endHeadDone
+	}
+	for _, m := range r.members {
+		if c.isListed(m.id) && !c.server(m.id).dead {
+			return endHeadMayBeOpen
+		}
+	}
+	return endOutOfSight
+}
+
 // advanceForming orders the members to join until all are ready, and then orders the
 // head to open. It drops the replica if a member is lost or refuses to join, or at
 // the deadline.
@@ -407,15 +458,18 @@
 	head := r.head()
 	entry, listed := c.listed[head.id]
 	state := entry.Membership.State
-	// A head that has finished its requests is ready again, and its replica ends.
-	isClosed := r.isGraceful && now.After(r.startedAt) && state == ring.MemberReady
+	if r.isGraceful && now.After(r.startedAt) && state == ring.MemberReady {
+		// The head has finished its requests. It must leave too, because a late order
+		// could open it again.
+		r.isGraceful = false
+	}
 	switch status := c.memberStatus(r, head); {
 	case status == statusLost, status == statusAway, r.isReleased:
 		c.drop(r, "released", "", now)
 		return
 	case !listed:
 		c.addInspection(head.id, now)
-	case isClosed, state == ring.MemberBroken:
+	case state == ring.MemberBroken:
 		c.drop(r, "released", "", now)
 		return
 	}
--- a/internal/composition/simulation_test.go
+++ b/internal/composition/simulation_test.go
@@ -42,6 +42,9 @@
 	alive  bool
 	// disconnectedUntil is until when the server cannot reach the store.
 	disconnectedUntil time.Time
+	// silentUntil is until when the server does not respond to the controller. It
+	// neither receives orders nor answers inspections, and its process continues.
+	silentUntil time.Time
 	// listed is set while the registry has an entry of the server, which is entry as
 	// of refreshedAt.
 	listed      bool
@@ -180,8 +183,8 @@
 }
 
 // view returns the state of the servers and replicas as the controller would see it.
-// An open replica is active if all its members are alive and in it, and otherwise
-// stalled.
+// An open replica is active if its head is reachable and all its members are alive and
+// in it, and otherwise stalled.
 func (sim *simulation) view() View {
 	v := View{Service: sim.service, HasTraffic: sim.hasTraffic, Stalled: map[ring.Epoch]time.Duration{}, Active: map[ring.Epoch]bool{}, Slow: map[ring.Epoch]float64{}}
 	for _, id := range sim.serverIDs() {
@@ -195,7 +198,7 @@
 					v.Slow[s.server.Membership.Epoch] = m.server.Slowdown
 				}
 			}
-			if sim.isComplete(s) {
+			if sim.isComplete(s) && sim.isReachable(s) {
 				v.Active[s.server.Membership.Epoch] = true
 			} else {
 				v.Stalled[s.server.Membership.Epoch] = time.Second
@@ -225,7 +228,7 @@
 			sim.performActions(c, c.Step(OrderEnded{ID: a.ID, Order: a.Order, Outcome: sim.deliverOrder(a.ID, a.Order)}, sim.now))
 		case Inspect:
 			s := sim.servers[a.ID]
-			reached := s.alive
+			reached := sim.isReachable(s)
 			e := Inspected{ID: a.ID, Answered: reached}
 			if reached {
 				e.Server, e.Leaving = s.server, a.WithHealth && !s.stopsAt.IsZero()
@@ -235,11 +238,16 @@
 	}
 }
 
+// isReachable reports whether the server runs and responds to the controller.
+func (sim *simulation) isReachable(s *simServer) bool {
+	return s.alive && sim.now.After(s.silentUntil)
+}
+
 // deliverOrder executes an order at a server, or later without a response if the
 // order is chosen to be delayed.
 func (sim *simulation) deliverOrder(id ring.VM, o ring.ReplicaOrder) Outcome {
 	s := sim.servers[id]
-	if !s.alive {
+	if !sim.isReachable(s) {
 		return OutcomeUnknown
 	}
 	if sim.random.Float64() < sim.delayedShare {
