composition: servers hold both models, and replicas form only of servers that hold the model

Change: every server stages a second model, members of open replicas included; before the first request loads take a tenth of the time. Once there are requests, a replica is formed only of servers that have the model loaded or staged. Loads run on spares and in the hosts' memory, at most as many as run at full speed, the most useful first: servers without any model, then models without a replica in the domain. With fewer loads than the limit at a time, the rate of loads holds over terms as well.

Ruled out: to reserve the members of a lost replica for its model (ReserveTime) for first replicas; the reservation is left for a second replica only.

--- a/internal/composition/composer_test.go
+++ b/internal/composition/composer_test.go
@@ -328,8 +328,16 @@
 // TestLoadsStayWithinTheRate checks the rate at which servers begin loads from the
 // weight store after all of them restarted while there are requests.
 func TestLoadsStayWithinTheRate(t *testing.T) {
+	for _, loadsAtOnce := range []int{8, 0} { // 0: any number of loads runs at full speed.
+		checkLoadRate(t, loadsAtOnce)
+	}
+}
+
+func checkLoadRate(t *testing.T, loadsAtOnce int) {
+	t.Helper()
 	const window, tolerance = 5 * time.Second, 1.1
 	sim, c := newOpenSimulation(t, 6)
+	sim.service.LoadsAtOnce = loadsAtOnce
 	sim.loadStarts = nil
 	for d := range 6 { // All servers restart without staged models.
 		for i := range 11 {
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -134,42 +134,27 @@
 	}
 }
 
-// replicaPlan describes a replica that could be formed from free servers. weightLoads
-// is the number of members that must load the model from the weight store, readyAfter
+// replicaPlan describes a replica that could be formed from free servers. readyAfter is
 // the time until all members are ready, and need the result of needForReplica.
 type replicaPlan struct {
-	model       ring.ReplicaModel
-	domain      ring.Domain
-	members     []ring.Server
-	weightLoads int
-	readyAfter  time.Duration
-	need        float64
+	model      ring.ReplicaModel
+	domain     ring.Domain
+	members    []ring.Server
+	readyAfter time.Duration
+	need       float64
 }
 
-// choosePlan returns the best plan for a replica of any model in any domain,
-// or nil if none can be formed now within the limit on weight loads.
+// choosePlan returns the best plan for a replica of any model in any domain, or nil if
+// none can be formed now.
 func (c *Composer) choosePlan(free map[ring.Domain][]ring.Server, now time.Time) *replicaPlan {
-	available := c.availableWeightLoads(now)
-	var best, withoutLoads *replicaPlan
+	var best *replicaPlan
 	for _, domain := range sortedDomains(free) {
 		for _, m := range c.view.Service.Models {
-			p := c.planReplica(m, domain, free[domain], now)
-			if p == nil {
-				continue
-			}
-			if best == nil || p.isBetterThan(best) {
+			if p := c.planReplica(m, domain, free[domain], now); p != nil && (best == nil || p.isBetterThan(best)) {
 				best = p
 			}
-			if p.weightLoads == 0 && (withoutLoads == nil || p.isBetterThan(withoutLoads)) {
-				withoutLoads = p
-			}
 		}
 	}
-	// A plan that waits for the limit on weight loads blocks other plans with such
-	// loads, so that a smaller replica does not take the servers of a larger one.
-	if best != nil && best.weightLoads > available {
-		return withoutLoads
-	}
 	return best
 }
 
@@ -183,12 +168,14 @@
 }
 
 // planReplica plans a replica of model m from the free servers of the domain that
-// would be ready first. It returns nil if there are too few servers, or if the
-// servers must be kept as spares or for a model that is needed more.
+// would be ready first. Once there are requests, only servers that hold the model are
+// taken: while one server loads it, the others can serve in another replica. It returns
+// nil if there are too few servers, or if the servers must be kept as spares or for a
+// model that is needed more.
 func (c *Composer) planReplica(m ring.ReplicaModel, domain ring.Domain, free []ring.Server, now time.Time) *replicaPlan {
 	sorted := make([]ring.Server, 0, len(free))
 	for _, s := range free {
-		if !c.isReserved(s, m, domain, now) {
+		if !c.view.HasTraffic || c.holds(s, m.Name) {
 			sorted = append(sorted, s)
 		}
 	}
@@ -196,7 +183,7 @@
 		return nil
 	}
 	hasReplica := c.replicaCount(m.Name, domain) > 0
-	if hasReplica && (len(sorted) < m.Size+c.options.MinSpares || c.lacksMoreNeededModel(m, domain, now)) {
+	if hasReplica && (len(sorted) < m.Size+c.options.MinSpares || c.lacksMoreNeededModel(m, domain, free, now)) {
 		return nil
 	}
 	sort.SliceStable(sorted, func(i, j int) bool {
@@ -209,39 +196,26 @@
 	p := &replicaPlan{model: m, domain: domain, members: sorted[:m.Size], need: c.needForReplica(m)}
 	for _, s := range p.members {
 		p.readyAfter = max(p.readyAfter, c.joinTime(s, m, now))
-		if c.needsWeightLoad(s, m, now) {
-			p.weightLoads++
-		}
 	}
 	return p
 }
 
-// isReserved reports whether the server must not load m because it has loaded or
-// staged another model that is needed more and has no replica in the domain. The
-// reservation ends after ReserveTime; until then, the missing server for a replica of
-// that other model may appear.
-func (c *Composer) isReserved(s ring.Server, m ring.ReplicaModel, domain ring.Domain, now time.Time) bool {
-	if !c.view.HasTraffic || !c.needsWeightLoad(s, m, now) {
-		return false
-	}
+// lacksMoreNeededModel reports whether the domain lacks a replica of some model that
+// is needed more than m, and either has lacked it for less than ReserveTime or will
+// have enough free servers for it when their present loads have ended.
+func (c *Composer) lacksMoreNeededModel(m ring.ReplicaModel, domain ring.Domain, free []ring.Server, now time.Time) bool {
 	for _, other := range c.view.Service.Models {
-		if other.Name == m.Name || c.needsWeightLoad(s, other, now) {
+		since, isMissing := c.missingSince[domainModel{domain, other.Name}]
+		if !isMissing || c.needForReplica(other) <= c.needForReplica(m) {
 			continue
 		}
-		since, isMissing := c.missingSince[domainModel{domain, other.Name}]
-		if isMissing && now.Before(since.Add(c.options.ReserveTime)) && c.needForReplica(other) > c.needForReplica(m) {
-			return true
+		holders := 0
+		for _, s := range free {
+			if c.holds(s, other.Name) || (c.isLoading(s, now) && c.server(s.ID).loadingModel == other.Name) {
+				holders++
+			}
 		}
-	}
-	return false
-}
-
-// lacksMoreNeededModel reports whether the domain lacks a replica of some model that
-// is needed more than m, and has lacked it for less than ReserveTime.
-func (c *Composer) lacksMoreNeededModel(m ring.ReplicaModel, domain ring.Domain, now time.Time) bool {
-	for _, other := range c.view.Service.Models {
-		since, isMissing := c.missingSince[domainModel{domain, other.Name}]
-		if isMissing && now.Before(since.Add(c.options.ReserveTime)) && c.needForReplica(other) > c.needForReplica(m) {
+		if holders >= other.Size || now.Before(since.Add(c.options.ReserveTime)) {
 			return true
 		}
 	}
@@ -296,16 +270,21 @@
 			n++
 		}
 	}
-	weight := 1.0
-	if m.Share > 0 {
-		weight = m.Share
-	}
+	weight := shareOf(m)
 	if !c.view.HasTraffic {
 		weight /= float64(max(m.Size, 1))
 	}
 	return weight / float64(n+1)
 }
 
+// shareOf returns the model's declared share of the work, or 1 if none is declared.
+func shareOf(m ring.ReplicaModel) float64 {
+	if m.Share > 0 {
+		return m.Share
+	}
+	return 1
+}
+
 // formReplica starts a replica with the planned members under a new epoch and orders
 // the members to join.
 func (c *Composer) formReplica(p *replicaPlan, now time.Time) {
--- a/internal/composition/simulation_test.go
+++ b/internal/composition/simulation_test.go
@@ -14,11 +14,13 @@
 // disconnected from the store, and orders that are delayed at random by a seed. It
 // records violations of the package's invariants.
 type simulation struct {
-	now     time.Time
-	random  *rand.Rand
-	servers map[ring.VM]*simServer
-	service ring.RoutedService
-	delayed []delayedOrder
+	now time.Time
+	// advancedAt is the time up to which loads have advanced.
+	advancedAt time.Time
+	random     *rand.Rand
+	servers    map[ring.VM]*simServer
+	service    ring.RoutedService
+	delayed    []delayedOrder
 	// delayedShare is the share of orders that get no response and are executed
 	// seconds later.
 	delayedShare float64
@@ -49,17 +51,20 @@
 	// of refreshedAt.
 	listed      bool
 	refreshedAt time.Time
-	// readyAt is when a joining server is ready, and openAt when a head that was
+	// joinLoad and stagingLoad are what is left of the loads from the weight store for
+	// joining a replica and for staging, as time at full speed.
+	joinLoad    time.Duration
+	stagingLoad time.Duration
+	// readyAt is when a joining server is ready, unless joinLoad is left, and openAt when a head that was
 	// ordered to open is open.
 	readyAt time.Time
 	openAt  time.Time
 	// maxEpoch is the largest epoch of an order to join.
 	maxEpoch ring.Epoch
 	// loaded is the model in the accelerators' memory. staging is the model being
-	// loaded into the host's memory until stagedAt.
-	loaded   ring.Model
-	staging  ring.Model
-	stagedAt time.Time
+	// loaded into the host's memory.
+	loaded  ring.Model
+	staging ring.Model
 	// wasReady holds the epochs under which the server has been ready.
 	wasReady map[ring.Epoch]bool
 	// stopsAt is when a leaving server stops.
@@ -84,7 +89,7 @@
 // serversPerDomain servers without a replica in each of the domains d0, d1 and so on.
 func newSimulation(seed uint64, domains, serversPerDomain int) *simulation {
 	sim := &simulation{
-		now: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), servers: map[ring.VM]*simServer{},
+		now: time.Unix(1_700_000_000, 0), advancedAt: time.Unix(1_700_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), servers: map[ring.VM]*simServer{},
 		service: ring.RoutedService{
 			Name: "engine", Slots: 26, LoadsPerSecond: 5.5, LoadsAtOnce: 8,
 			Models: []ring.ReplicaModel{
@@ -132,8 +137,10 @@
 // stagings that are due, updates the registry and executes delayed orders.
 func (sim *simulation) advanceTick() {
 	sim.now = sim.now.Add(simTick)
+	progress := sim.loadProgress()
 	for _, id := range sim.serverIDs() {
 		s := sim.servers[id]
+		s.joinLoad, s.stagingLoad = max(s.joinLoad-progress, 0), max(s.stagingLoad-progress, 0)
 		if !s.stopsAt.IsZero() && sim.now.After(s.stopsAt) {
 			s.alive = false
 		}
@@ -151,11 +158,32 @@
 	sim.delayed = remaining
 }
 
+// loadProgress returns by how much each load from the weight store has advanced since
+// the last call.
+// Beyond LoadsAtOnce concurrent loads, each is slower in proportion.
+func (sim *simulation) loadProgress() time.Duration {
+	elapsed := sim.now.Sub(sim.advancedAt)
+	sim.advancedAt = sim.now
+	loads := 0
+	for _, s := range sim.servers {
+		if s.alive && (s.joinLoad > 0 || s.stagingLoad > 0) {
+			loads++
+		}
+	}
+	if !sim.hasTraffic || sim.service.LoadsAtOnce == 0 || loads <= sim.service.LoadsAtOnce {
+		return elapsed
+	}
+	return elapsed * time.Duration(sim.service.LoadsAtOnce) / time.Duration(loads)
+}
+
 // completeTransitions applies the changes of a server's state that are due: it
 // becomes ready or open, or has staged a model.
 func (sim *simulation) completeTransitions(s *simServer) {
 	membership := &s.server.Membership
-	if membership.State == ring.MemberJoining && sim.now.After(s.readyAt) {
+	if membership.State == ring.MemberJoining && s.joinLoad == 0 && sim.now.After(s.readyAt) {
+		if s.loaded != s.server.Model {
+			s.server.Staged = []ring.Model{s.server.Model}
+		}
 		membership.State = ring.MemberReady
 		s.wasReady[membership.Epoch] = true
 		s.loaded = s.server.Model
@@ -164,7 +192,7 @@
 		membership.State = ring.MemberOpen
 		s.openAt = time.Time{}
 	}
-	if s.staging != "" && sim.now.After(s.stagedAt) {
+	if s.staging != "" && s.stagingLoad == 0 {
 		s.server.Staged = []ring.Model{s.staging}
 		s.staging = ""
 	}
@@ -266,7 +294,7 @@
 	}
 	membership := &s.server.Membership
 	if o.Kind == ring.OrderStage {
-		s.staging, s.stagedAt = o.Model, sim.now.Add(sim.loadTime(o.Model))
+		s.staging, s.stagingLoad = o.Model, sim.loadTime(o.Model)
 		sim.loadStarts = append(sim.loadStarts, sim.now)
 		return OutcomeDone
 	}
@@ -316,14 +344,15 @@
 	}
 	sim.checkNotInUse(s)
 	s.maxEpoch = o.Epoch
-	joinTime := sim.loadTime(o.Model)
+	joinTime := time.Duration(0)
+	s.joinLoad = 0
 	switch {
 	case s.loaded == o.Model:
 		joinTime = 200 * time.Millisecond
 	case s.server.HasStaged(o.Model):
 		joinTime = sim.modelByName(o.Model).StagedLoadTime
 	default:
-		s.server.Staged = []ring.Model{o.Model}
+		s.joinLoad = sim.loadTime(o.Model)
 		sim.loadStarts = append(sim.loadStarts, sim.now)
 	}
 	rank := 0
--- a/internal/composition/standby.go
+++ b/internal/composition/standby.go
@@ -1,107 +1,235 @@
 package composition
 
 import (
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
 	ring "eelgrassring.dev"
 )
 
-// stagedBonus multiplies the need for a standby of a model that the spare can load
-// without the weight store. A load from its host's memory takes a tenth of the time.
-const stagedBonus = 2
-
-// assignStandbys orders every spare (a server without a replica) to load one model
-// into its accelerators and to stage another in its host's memory. The spare can then
-// quickly replace a lost member of a replica of either model in its domain.
+// assignStandbys prepares servers to join a replica of any model quickly. Spares
+// (servers without a replica) become standbys of a model that they hold. Servers that
+// hold no model, or not all models that their host has room for, load one.
 func (c *Composer) assignStandbys(now time.Time) {
 	free := c.freeServers(now)
 	for _, domain := range sortedDomains(free) {
-		loaded := map[ring.Model]int{}
-		var idle []ring.Server
 		for _, s := range free[domain] {
-			if !s.Membership.IsStandby() {
-				idle = append(idle, s)
-				continue
-			}
-			loaded[s.Model]++
-			if s.Membership.State == ring.MemberReady {
-				c.stageModel(s, now)
+			if !s.Membership.IsStandby() && c.isIdle(s, now) {
+				c.assignStandby(s, now)
 			}
 		}
-		for _, s := range idle {
-			c.assignStandby(s, domain, loaded, now)
-		}
 	}
+	c.loadModels(free, now)
 }
 
-// stageModel orders a standby to load another model into its host's memory: of the
-// models that the standby does not have loaded, the one with the greatest
-// needForReplica. It does nothing if the standby has staged one of these models
-// already or is loading a model, or if the limit on weight loads is reached.
-func (c *Composer) stageModel(s ring.Server, now time.Time) {
+// isIdle reports whether the spare's last order to join was long enough ago that it
+// must have failed.
+func (c *Composer) isIdle(s ring.Server, now time.Time) bool {
 	state := c.server(s.ID)
-	if state.loadingModel != "" || c.availableWeightLoads(now) < 1 {
-		return
-	}
+	return state.lastOrderKind != ring.OrderJoin || !now.Before(state.lastOrderAt.Add(c.options.OrderRetry*4))
+}
+
+// assignStandby makes a spare a standby of a model that it holds, the one that it
+// joins fastest. It does nothing if the spare holds none.
+func (c *Composer) assignStandby(s ring.Server, now time.Time) {
 	var best *ring.ReplicaModel
 	for _, m := range c.view.Service.Models {
-		if m.Name == state.loadedModel {
-			continue
+		if c.holds(s, m.Name) && (best == nil || c.joinTime(s, m, now) < c.joinTime(s, *best, now)) {
+			best = &m
 		}
-		if s.HasStaged(m.Name) {
+	}
+	if best != nil {
+		c.addStandbyOrder(s, *best, now)
+	}
+}
+
+// addStandbyOrder orders a spare to become a standby of the model, which loads the
+// model if the spare does not hold it.
+func (c *Composer) addStandbyOrder(s ring.Server, m ring.ReplicaModel, now time.Time) {
+	c.epoch++
+	group := ring.StandbyGroup(strconv.FormatUint(uint64(c.epoch), 36))
+	c.addOrder(s.ID, ring.ReplicaOrder{Kind: ring.OrderJoin, Group: group, Epoch: c.epoch, Model: m.Name, Members: []ring.VM{s.ID}}, now)
+}
+
+// weightLoad is a possible load from the weight store: of a model that a server does
+// not hold.
+type weightLoad struct {
+	server ring.Server
+	model  ring.ReplicaModel
+	// isFirst is set if the server holds no model, so that it is of no use yet.
+	isFirst bool
+	// lacking is how many servers the domain lacks for a replica of the model, at least
+	// one, or 0 if the domain has such a replica.
+	lacking int
+}
+
+// compareWeightLoads orders loads by their benefit: first the servers that hold no
+// model, then the domains in which a replica of the model is missing, then those that
+// lack fewer servers for it.
+func compareWeightLoads(a, b weightLoad) int {
+	return cmp.Or(
+		-compareBool(a.isFirst, b.isFirst),
+		-compareBool(a.lacking > 0, b.lacking > 0),
+		cmp.Compare(a.lacking, b.lacking),
+		cmp.Compare(a.model.LoadTime, b.model.LoadTime),
+		cmp.Compare(a.server.ID, b.server.ID),
+	)
+}
+
+// compareBool returns -1, 0 or 1, with false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// loadModels orders servers to load models that they do not hold, the most useful
+// loads first, within the limits on weight loads. A spare without any model joins as a
+// standby; all other servers stage the model in their host's memory, which does not
+// disturb what they run. Members of running replicas stage models too: after a loss,
+// the remaining members can then form a replica of any model that still fits.
+func (c *Composer) loadModels(free map[ring.Domain][]ring.Server, now time.Time) {
+	loads := c.usefulLoads(free, now)
+	slices.SortFunc(loads, compareWeightLoads)
+	available, idleSlots := c.availableWeightLoads(now), c.idleLoadSlots(now)
+	for _, l := range loads {
+		needed := 1
+		if !l.isFirst && c.view.HasTraffic {
+			// Later first loads must not wait for a long time.
+			needed = 1 + c.view.Service.LoadsAtOnce/2
+		}
+		if available < 1 || idleSlots < needed {
 			return
 		}
-		if best == nil || c.needForReplica(m) > c.needForReplica(*best) {
-			best = &m
+		available--
+		idleSlots--
+		c.recordWeightLoad(l.server, l.model, now)
+		if l.isFirst {
+			c.addStandbyOrder(l.server, l.model, now)
+		} else {
+			c.addOrder(l.server.ID, ring.ReplicaOrder{Kind: ring.OrderStage, Model: l.model.Name}, now)
 		}
 	}
-	if best == nil {
-		return
-	}
-	c.recordWeightLoad(s, *best, now)
-	c.addOrder(s.ID, ring.ReplicaOrder{Kind: ring.OrderStage, Model: best.Name}, now)
 }
 
-// assignStandby orders a spare to become a standby of the model with the greatest
-// need for standbys in the domain. It does nothing if the limit on weight loads is
-// reached. loaded counts the domain's standbys by model; assignStandby adds the new
-// one.
-func (c *Composer) assignStandby(s ring.Server, domain ring.Domain, loaded map[ring.Model]int, now time.Time) {
-	state := c.server(s.ID)
-	if state.lastOrderKind == ring.OrderJoin && now.Before(state.lastOrderAt.Add(c.options.OrderRetry*4)) {
-		return
+// usefulLoads returns a load for each server that holds no model, and for each server
+// whose host has room for a model that the server has not loaded. Members of replicas
+// that are not open yet, and spares whose standby is not ready, are left out unless
+// they hold no model.
+func (c *Composer) usefulLoads(free map[ring.Domain][]ring.Server, now time.Time) []weightLoad {
+	holders := c.countHolders(now)
+	settled := map[ring.VM]bool{}
+	for _, r := range c.replicas {
+		for _, m := range r.members {
+			settled[m.id] = r.phase == phaseOpen
+		}
+	}
+	var out []weightLoad
+	add := func(s ring.Server, isFirst bool) {
+		m, ok := c.chooseModelToLoad(s, holders)
+		if !ok {
+			return
+		}
+		l := weightLoad{server: s, model: m, isFirst: isFirst}
+		key := domainModel{s.Domain, m.Name}
+		if c.replicaCount(m.Name, s.Domain) == 0 {
+			l.lacking = max(m.Size-holders[key], 1)
+		}
+		holders[key]++
+		out = append(out, l)
 	}
-	m, ok := c.chooseStandbyModel(s, domain, loaded, now)
-	if !ok {
-		return
+	for _, domain := range sortedDomains(free) {
+		for _, s := range free[domain] {
+			isFirst := c.holdsNothing(s)
+			settled[s.ID] = !isFirst && s.Membership.IsStandby() && s.Membership.State == ring.MemberReady
+			if isFirst && !s.Membership.IsStandby() && c.isIdle(s, now) && !c.isLoading(s, now) {
+				add(s, true)
+			}
+		}
 	}
-	if c.needsWeightLoad(s, m, now) && c.availableWeightLoads(now) < 1 {
-		return
+	for _, s := range c.view.Servers {
+		if settled[s.ID] && !s.Leaving && !c.server(s.ID).dead && !c.isLoading(s, now) {
+			add(s, false)
+		}
 	}
-	c.recordWeightLoad(s, m, now)
-	loaded[m.Name]++
-	c.epoch++
-	group := ring.StandbyGroup(strconv.FormatUint(uint64(c.epoch), 36))
-	c.addOrder(s.ID, ring.ReplicaOrder{Kind: ring.OrderJoin, Group: group, Epoch: c.epoch, Model: m.Name, Members: []ring.VM{s.ID}}, now)
+	return out
 }
 
-// chooseStandbyModel returns the model with the fewest standbys in the domain
-// relative to the servers in its replicas, or false if there is no model. If s need
-// not load a model from the weight store, the need for that model is multiplied by
-// stagedBonus.
-func (c *Composer) chooseStandbyModel(s ring.Server, domain ring.Domain, loaded map[ring.Model]int, now time.Time) (ring.ReplicaModel, bool) {
+// chooseModelToLoad returns the model of which the server's domain has the fewest
+// holders relative to the model's share, among those that the server does not hold.
+// It returns false if there is none, or if the host has no room: it keeps one staged
+// model, which is of use unless that model is also the loaded one.
+func (c *Composer) chooseModelToLoad(s ring.Server, holders map[domainModel]int) (ring.ReplicaModel, bool) {
 	var best ring.ReplicaModel
-	bestNeed := -1.0
+	bestCount := -1.0
+	loaded := c.server(s.ID).loadedModel
 	for _, m := range c.view.Service.Models {
-		members := max(c.replicaCount(m.Name, domain), 1) * m.Size
-		need := float64(members) / float64(1+loaded[m.Name]*members)
-		if !c.needsWeightLoad(s, m, now) {
-			need *= stagedBonus
+		if m.Name == loaded {
+			continue
+		}
+		if s.HasStaged(m.Name) {
+			return ring.ReplicaModel{}, false
+		}
+		if count := float64(holders[domainModel{s.Domain, m.Name}]) / shareOf(m); bestCount < 0 || count < bestCount {
+			best, bestCount = m, count
+		}
+	}
+	return best, bestCount >= 0
+}
+
+// countHolders counts, by domain and model, the servers that hold the model or are
+// loading it.
+func (c *Composer) countHolders(now time.Time) map[domainModel]int {
+	out := map[domainModel]int{}
+	for _, s := range c.view.Servers {
+		if s.Leaving || c.server(s.ID).dead {
+			continue
+		}
+		for _, m := range c.view.Service.Models {
+			if c.holds(s, m.Name) || (c.isLoading(s, now) && c.server(s.ID).loadingModel == m.Name) {
+				out[domainModel{s.Domain, m.Name}]++
+			}
 		}
-		if need > bestNeed {
-			best, bestNeed = m, need
+	}
+	return out
+}
+
+// holds reports whether the server can join a replica of the model without the weight
+// store: it has loaded or staged the model.
+func (c *Composer) holds(s ring.Server, m ring.Model) bool {
+	return c.server(s.ID).loadedModel == m || s.HasStaged(m)
+}
+
+// holdsNothing reports whether the server has neither loaded nor staged any model.
+func (c *Composer) holdsNothing(s ring.Server) bool {
+	return c.server(s.ID).loadedModel == "" && len(s.Staged) == 0
+}
+
+// isLoading reports whether a load of a model from the weight store runs at the
+// server, by an order of this composer.
+func (c *Composer) isLoading(s ring.Server, now time.Time) bool {
+	state := c.server(s.ID)
+	return state.loadingModel != "" && now.Before(state.loadingUntil)
+}
+
+// idleLoadSlots returns how many more loads can run at full speed. Before the first
+// request to the service loads are fast, and all servers may load at once. A server
+// that joins and holds no model is loading by an order of an earlier controller.
+func (c *Composer) idleLoadSlots(now time.Time) int {
+	if !c.view.HasTraffic || c.view.Service.LoadsAtOnce == 0 {
+		return len(c.view.Servers)
+	}
+	n := c.view.Service.LoadsAtOnce
+	for _, s := range c.view.Servers {
+		if c.isLoading(s, now) || (s.Membership.State == ring.MemberJoining && c.holdsNothing(s)) {
+			n--
 		}
 	}
-	return best, bestNeed > 0
+	return n
 }
