gateway, fleet, agent: obey servers that announce their stop or ask for a pause

A server that leaves says so in all its answers, and some never say it in the registry; a server that turns a request away with 503 may say for how long it wants nothing from this node. Neither was read.

Change: the dialect reads both from each response. The fleet keeps them per incarnation of the server: one that leaves counts as leaving at this node from that answer on, whatever its entry says, and the peers and the controller are told by a message in the form of a registry entry. A paused server is no choice for requests, retries and resumed streams until the pause ends. If all servers have asked for a pause, callers are refused at once and told when the first pause ends. Orders are still sent to paused servers: a repair must not wait, and they are no requests.

--- a/cmd/eelgrass/script_test.go
+++ b/cmd/eelgrass/script_test.go
@@ -69,6 +69,7 @@
 func (fakeAuthority) NodeCount() int                                          { return 1 }
 func (fakeAuthority) SendDigestSoon()                                         {}
 func (fakeAuthority) AnnouncePrefill(ring.Epoch, time.Duration)               {}
+func (fakeAuthority) AnnounceLeaving(ring.Server)                             {}
 func (fakeAuthority) ShareRetryUsage(func(time.Time) retry.Usage) *retry.Pool { return nil }
 
 // startRouted serves the admin interface of a node with a declared route and
--- a/internal/agent/controller.go
+++ b/internal/agent/controller.go
@@ -323,14 +323,27 @@
 		inspect = ct.agent.inspectWithPeers
 	}
 	s, err := inspect(ctx, action.Address)
-	leaving := false
-	if err == nil && action.WithHealth {
+	leaving := err == nil && s.Leaving
+	if err == nil && action.WithHealth && !leaving {
 		leaving = ct.isLeaving(ctx, service, action)
 	}
+	if leaving {
+		ct.agent.recordLeaving(action.ID, s.Incarnation)
+	}
 	ct.agent.log.Write(event.ServerInspected, slog.String("vm", string(action.ID)), slog.Bool("answered", err == nil), slog.Bool("leaving", leaving), slog.Any("error", err))
 	ct.queueComposerEvent(service, composition.Inspected{ID: action.ID, Answered: err == nil, Refused: errors.Is(err, syscall.ECONNREFUSED), Leaving: leaving, Server: s})
 }
 
+// recordLeaving records that an inspected server is about to stop and tells the other
+// nodes, if the server is registered with this incarnation.
+func (a *Agent) recordLeaving(id ring.VM, incarnation string) {
+	s, known := a.fleet.Server(id)
+	if known && s.Incarnation == incarnation && a.fleet.MarkLeaving(id, incarnation, time.Now()) {
+		a.log.Write(event.VMLeaving, slog.String("vm", string(id)))
+		a.AnnounceLeaving(s)
+	}
+}
+
 // isLeaving reports whether a server's health check says that it is about to stop.
 // It returns false if the check fails, which is logged, or the service has none.
 func (ct *controllerTerm) isLeaving(ctx context.Context, name ring.Service, action composition.Inspect) bool {
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -103,9 +104,12 @@
 	var applied []digest.Entry
 	for _, e := range entries {
 		isNew := false
-		if e.Deleted {
+		switch {
+		case e.Revision == 0 && e.Leaving:
+			isNew = a.fleet.MarkLeaving(ring.VM(e.ID), e.Incarnation, time.Now())
+		case e.Deleted:
 			isNew = a.fleet.Remove(ring.VM(e.ID), ring.Revision(e.Revision))
-		} else {
+		default:
 			isNew = a.fleet.Put(serverFromEntry(e), ring.Revision(e.Revision))
 		}
 		if isNew {
@@ -115,6 +119,32 @@
 	a.forwardEntries(applied)
 }
 
+// AnnounceLeaving tells the other nodes that a backend server announced that it is
+// about to stop. The message has the form of a registry entry without a revision. With
+// few nodes it goes to all of them, in the tree of nodes to the root, which forwards it,
+// and to this node's children, because this node does not forward what it knows.
+func (a *Agent) AnnounceLeaving(s ring.Server) {
+	e := entryFromServer(s, 0)
+	e.Leaving = true
+	addresses := a.peerAddresses()
+	if a.usesTree() {
+		a.forwardEntries([]digest.Entry{e})
+		if a.isController.Load() {
+			return
+		}
+		a.mu.Lock()
+		root, known := a.peers[a.controller]
+		a.mu.Unlock()
+		if !known {
+			return
+		}
+		addresses = []string{root.address}
+	}
+	for _, address := range addresses {
+		a.sendEntries(address, []digest.Entry{e})
+	}
+}
+
 // bucketOf returns the number of the bucket to which a server's registry entry belongs.
 // The registry is divided into buckets by a hash of the server's ID, each with its own
 // checksum.
--- a/internal/agent/tree_test.go
+++ b/internal/agent/tree_test.go
@@ -421,3 +421,27 @@
 		}
 	}
 }
+
+// TestAllNodesLearnThatAServerIsAboutToStop checks that a server's announcement, made
+// to one node, reaches the others and so the controller, with few nodes and in the tree.
+func TestAllNodesLearnThatAServerIsAboutToStop(t *testing.T) {
+	for _, nodes := range []int{6, 30} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			tc.startRequests(2)
+			tc.streamFor(time.Second)
+			for _, a := range tc.agents {
+				if !a.IsController() {
+					s, known := a.fleet.Server("h0")
+					is.True(known)
+					is.True(a.fleet.MarkLeaving(s.ID, s.Incarnation, time.Now()))
+					a.AnnounceLeaving(s)
+					break
+				}
+			}
+			tc.streamFor(time.Second)
+			is.Equal(tc.nodesSendingTo("g0"), 0)
+			is.Equal(tc.nodesSendingTo("g1"), nodes)
+		})
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -51,7 +51,8 @@
 	GroupRecovered           = Kind{408, "group recovered", slog.LevelInfo}
 	ReplicaChanged           = Kind{409, "replica changed", slog.LevelInfo} // the controller decided to change a replica
 	ServerInspected          = Kind{410, "server inspected", slog.LevelInfo}
-	DomainSummary            = Kind{411, "domain summary", slog.LevelInfo} // the replicas and the spare servers (those without a replica) of a fabric domain
+	ServerPaused             = Kind{412, "server asked for a pause", slog.LevelInfo} // it turned a request away and wants no more from this node for a time
+	DomainSummary            = Kind{411, "domain summary", slog.LevelInfo}           // the replicas and the spare servers (those without a replica) of a fabric domain
 	RequestFailed            = Kind{501, "request failed", slog.LevelWarn}
 	AttemptFailed            = Kind{502, "attempt failed", slog.LevelInfo}
 	ClaimOutcomeNotRecorded  = Kind{503, "claim outcome not recorded", slog.LevelError} // the outcome of a non-idempotent request could not be stored
@@ -69,7 +70,7 @@
 		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid,
 		PeerFound, PeerLost, ControllerLeaseAcquired, ControllerLeaseLost, MembershipLeaseLost, PeerRecordInvalid, DigestNotSent, ConfigurationFetchFailed,
 		GroupRecordWritten, GroupRecordRejected, OrderSent, OrderFailed, OrderFenced, VMLeaving, CapacityChanged, GroupRecovered,
-		ReplicaChanged, ServerInspected, DomainSummary,
+		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused,
 		RequestFailed, AttemptFailed, ClaimOutcomeNotRecorded, StreamReplayed, ResponseMismatch,
 		RequestDone, StreamResumed, LinesDropped,
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,6 +74,8 @@
 	// though their servers are still registered.
 	backoffs       map[ring.Group]backoff
 	abandonedUntil map[ring.Epoch]time.Time
+	// notices holds what servers announced in their responses to this node or a peer.
+	notices map[ring.VM]*notice
 }
 
 // peerState is what a peer last reported about its requests at the replicas. The maps
@@ -95,6 +97,7 @@
 		peers:           map[string]peerState{},
 		backoffs:        map[ring.Group]backoff{},
 		abandonedUntil:  map[ring.Epoch]time.Time{},
+		notices:         map[ring.VM]*notice{},
 		prefillUntil:    map[ring.Epoch]time.Time{},
 		firstEventTimes: map[ring.Model]time.Duration{},
 		profiles:        map[ring.Model]routing.RequestProfile{},
@@ -126,7 +129,7 @@
 		return false
 	}
 	f.revisions[s.ID] = revision
-	f.servers[s.ID] = s
+	f.servers[s.ID] = f.withNotice(s)
 	f.markReplicasStale()
 	return true
 }
@@ -314,6 +317,7 @@
 	ReasonFailing   Reason = "the head recently failed or could not be reached"
 	ReasonAbandoned Reason = "the controller abandoned the replica"
 	ReasonStalled   Reason = "the streams at all nodes have stalled"
+	ReasonPaused    Reason = "the head asked this node for a pause"
 )
 
 // exclusionReason returns why the replica gets no requests now, or ReasonNone if it
@@ -326,6 +330,8 @@
 		return ReasonClosed
 	case now.Before(f.abandonedUntil[r.Epoch]):
 		return ReasonAbandoned
+	case now.Before(f.pausedUntil(r.Head)):
+		return ReasonPaused
 	case now.Before(f.backoffs[r.Group].until):
 		return ReasonFailing
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/textproto"
@@ -15,6 +16,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/event"
 )
 
 const (
@@ -90,6 +92,7 @@
 		return nil, &attemptError{stage: stageSent, err: err}
 	}
 	x.header = f.config.Dialect.ReadAnswer(x.response.StatusCode, x.response.Header)
+	f.recordNotices(req, server, x.header)
 	if x.header.ID != "" && x.header.ID != req.header.ID {
 		f.config.Metrics.Count("foreign_answers", 1)
 		x.close()
@@ -100,6 +103,21 @@
 	return x, nil
 }
 
+// recordNotices records what a server announces in the header of a response: that it
+// is about to stop, or that it wants no requests from this node for a time. The node
+// obeys at once, and tells its peers of a server that is about to stop.
+func (f *Front) recordNotices(req *frontRequest, server ring.Server, h ring.AnswerHeader) {
+	now := time.Now()
+	if h.Leaving && f.config.Fleet.MarkLeaving(server.ID, server.Incarnation, now) {
+		f.config.Log.Write(event.VMLeaving, slog.String("vm", string(server.ID)), slog.String("request", req.header.ID))
+		f.config.Node.AnnounceLeaving(server)
+	}
+	if h.Pause > 0 {
+		f.config.Fleet.Pause(server.ID, server.Incarnation, now, now.Add(h.Pause))
+		f.config.Log.Write(event.ServerPaused, slog.String("vm", string(server.ID)), slog.Duration("pause", h.Pause), slog.String("request", req.header.ID))
+	}
+}
+
 // readHeader reads the header of the final response and skips informational ones.
 func (x *exchange) readHeader(req *frontRequest) error {
 	reader := bufio.NewReader(x.conn)
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -56,6 +56,8 @@
 	// SendDigestSoon requests that this node's state is sent to the peers now instead
 	// of at the next interval.
 	SendDigestSoon()
+	// AnnounceLeaving tells the peers that a backend server is about to stop.
+	AnnounceLeaving(s ring.Server)
 	// AnnouncePrefill tells the peers that this node sent a replica a prompt with the
 	// given prefill time.
 	AnnouncePrefill(e ring.Epoch, prefill time.Duration)
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -56,7 +56,10 @@
 }
 
 func (testDialect) ReadAnswer(status int, h http.Header) ring.AnswerHeader {
-	return ring.AnswerHeader{ID: h.Get("T-Id"), NotRun: h.Get("T-NotRun") != "" || status == http.StatusMisdirectedRequest}
+	pause, _ := time.ParseDuration(h.Get("T-Pause"))
+	return ring.AnswerHeader{
+		ID: h.Get("T-Id"), NotRun: h.Get("T-NotRun") != "" || status == http.StatusMisdirectedRequest, Leaving: h.Get("T-Leaving") != "", Pause: pause,
+	}
 }
 
 func (testDialect) WriteFailure(h http.Header, id string, f *ring.Failure, now time.Time) {
@@ -72,6 +75,8 @@
 	table     *route.Table
 	confirmed bool
 	draining  bool
+	// announced are the servers of the calls of AnnounceLeaving.
+	announced []ring.VM
 }
 
 func (n *testNode) Routing() *route.Table {
@@ -100,6 +105,12 @@
 func (n *testNode) ShareRetryUsage(func(time.Time) retry.Usage) *retry.Pool { return nil }
 func (n *testNode) AnnouncePrefill(ring.Epoch, time.Duration)               {}
 
+func (n *testNode) AnnounceLeaving(s ring.Server) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.announced = append(n.announced, s.ID)
+}
+
 // receivedRequest is a request as a test server received it.
 type receivedRequest struct {
 	server      string
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -201,7 +201,8 @@
 		if failure := f.recheck(req); failure != nil {
 			return failure
 		}
-		server, ok := f.servers.acquire(f.config.Fleet.Servers(req.service.Name), tried, time.Now())
+		now := time.Now()
+		server, ok := f.servers.acquire(f.config.Fleet.AvailableServers(req.service.Name, now), tried, now)
 		if !ok {
 			break
 		}
@@ -219,8 +220,22 @@
 		}
 		lastFailure = failure
 	}
-	if lastFailure == nil {
-		lastFailure = ring.FailRetryAt(ring.CodeUnreachable, time.Now().Add(busyRetryAfter), "service %s has no available server", req.service.Name)
+	return f.withPauseEnd(req, lastFailure)
+}
+
+// withPauseEnd returns the failure to report for a request to a service without
+// models, where lastFailure is that of the last attempt or nil. If all servers have
+// asked for a pause, the caller is told to return when the first pause ends.
+func (f *Front) withPauseEnd(req *frontRequest, lastFailure *ring.Failure) *ring.Failure {
+	now := time.Now()
+	until, arePaused := f.config.Fleet.ServersPausedUntil(req.service.Name, now)
+	switch {
+	case lastFailure == nil && arePaused:
+		return ring.FailRetryAt(ring.CodeOverloaded, until, "all servers of service %s asked for a pause", req.service.Name)
+	case lastFailure == nil:
+		return ring.FailRetryAt(ring.CodeUnreachable, now.Add(busyRetryAfter), "service %s has no available server", req.service.Name)
+	case arePaused && !lastFailure.RetryAt.IsZero():
+		lastFailure.RetryAt = until
 	}
 	return lastFailure
 }
@@ -274,10 +289,10 @@
 }
 
 // hasOtherServer reports whether the request's service has a server other than the
-// given one that is not about to stop.
+// given one that may get requests.
 func (f *Front) hasOtherServer(req *frontRequest, except ring.Server) bool {
-	for _, s := range f.config.Fleet.Servers(req.service.Name) {
-		if s.ID != except.ID && !s.Leaving {
+	for _, s := range f.config.Fleet.AvailableServers(req.service.Name, time.Now()) {
+		if s.ID != except.ID {
 			return true
 		}
 	}
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -122,6 +122,10 @@
 			req.replicaLoad, req.expectedPrefill = c.Load, c.Prefill+prefill
 			return c.Replica, nil
 		}
+		if until, arePaused := s.fleet.ReplicasPausedUntil(req.service.Name, req.header.Model, now); arePaused && until.After(deadline) {
+			req.queuedFor += now.Sub(start)
+			return fleet.Replica{}, ring.FailRetryAt(ring.CodeOverloaded, until, "all replicas of model %q asked for a pause", req.header.Model)
+		}
 		select {
 		case <-ctx.Done():
 			return fleet.Replica{}, ring.Fail(ring.CodeDeadline, "the caller disconnected")
--- a/route.go
+++ b/route.go
@@ -177,6 +177,11 @@
 	FaultyServer VM
 	// Signed is set if the response carries the server's signature.
 	Signed bool
+	// Leaving is set if the server announces that it is about to stop.
+	Leaving bool
+	// Pause is how long the server, which turned the request away, wants no further
+	// requests from this node; 0 if it did not say.
+	Pause time.Duration
 }
 
 // Dialect reads and writes the headers by which callers, this system and backend
--- a/server.go
+++ b/server.go
@@ -110,7 +110,8 @@
 // ReplicaControl is the control interface of discovered backend servers.
 type ReplicaControl interface {
 	// Inspect fetches a server's report of itself. The report lacks the fields
-	// that occur only in the registry; they stay empty.
+	// that occur only in the registry; they stay empty. Leaving is set if the
+	// response announces that the server is about to stop.
 	Inspect(ctx context.Context, address string) (Server, error)
 	// IsLeaving checks a server's health and reports whether the server is about
 	// to stop, which is so if it responds but is not healthy. It returns an
