store: one version over restores of the store from an older copy

Cause: in a drill the store may come back from a copy some seconds old, named by Store-Era. Revisions go back and are given out again, leases are gone. Read at the base: the number of a term, and the epochs that derive from it, could repeat; the mirror and the fleet took fresh entries for old ones for ever; a node confirmed an older configuration than the store had acknowledged; a controller could go on beside a new one; a lease's number could be another node's.

Change: a Revision and a Lease hold the era above the store's own number (ring.RevisionAt), so all comparisons order versions over restores. The client of the store stamps and checks them: a response of an earlier era is an error, a lease or a guard of one is not sent, a watch and a listing end at a restore. Package era tracks the newest era of a client, also as heard from peers. On it rest: a term ends with the first response or message that names a later era, and the next one sends no orders until its predecessor cannot believe in its lease; membership records are written again at once; for 2.5 s a missing or older entry says nothing and no read confirms the configuration. Epochs gain 2^24 revisions an era: they repeat only if a copy were 16 million changes old.

The etcd API names no eras: a cluster restored there is out of scope, as its client says.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,7 +25,11 @@
 //
 //   - The number of the active configuration never decreases.
 //   - Requests with API keys are served only while the confirmation is younger
-//     than Config.Revocation less a margin.
+//     than Config.Revocation less a margin. A read confirms nothing until
+//     Timing.RestoreGrace after a restore of the store: the store may lack a newer
+//     configuration that it had acknowledged.
+//   - After a restore, a new controller sends no orders while its predecessor, which
+//     may not know of the restore, can still believe that it holds its lease.
 package agent
 
 import (
@@ -73,6 +77,10 @@
 	// an outage. Servers register again within 2 s of the end of an outage.
 	GracePeriod time.Duration
 	MinOutage   time.Duration
+	// RestoreGrace is how long after a restore of the store from an older copy its
+	// users may take to write again what was lost. In this time a missing or older
+	// value says nothing.
+	RestoreGrace time.Duration
 	// DigestInterval is the minimum time between two digests to the same peer.
 	DigestInterval time.Duration
 	// MembershipTTL is the TTL of the lease on a node's membership record.
@@ -107,6 +115,7 @@
 		RetryInterval:           200 * time.Millisecond,
 		GracePeriod:             2200 * time.Millisecond,
 		MinOutage:               800 * time.Millisecond,
+		RestoreGrace:            2500 * time.Millisecond,
 		DigestInterval:          200 * time.Millisecond,
 		MembershipTTL:           8 * time.Second,
 		ControllerTTL:           2 * time.Second,
@@ -382,10 +391,10 @@
 	wait.Go(func() { a.transport.Serve(a.dispatchMessage) })
 	context.AfterFunc(ctx, func() { _ = a.transport.Close() })
 	a.serversMirror = a.newMirror(mirror.Config{
-		Prefix: a.config.Directory.ServerPrefix(), ResyncInterval: t.ResyncInterval, GracePeriod: t.GracePeriod, OnChange: a.applyServerChange, HasPeerFeed: a.rootSendsChanges, OnSync: a.recordServersListed,
+		Prefix: a.config.Directory.ServerPrefix(), ResyncInterval: t.ResyncInterval, GracePeriod: t.GracePeriod, RestoreGrace: t.RestoreGrace, OnChange: a.applyServerChange, HasPeerFeed: a.rootSendsChanges, OnSync: a.recordServersListed,
 	})
 	a.stateMirror = a.newMirror(mirror.Config{
-		Prefix: catalog.StatePrefix, ResyncInterval: t.ResyncInterval, OnChange: a.applyStateChange, OnSync: func(clock.Instant) { a.recordStateListed() }, HasPeerFeed: a.canSkipStateWatch,
+		Prefix: catalog.StatePrefix, ResyncInterval: t.ResyncInterval, RestoreGrace: t.RestoreGrace, ReportsAtOnce: func(key string) bool { return key == catalog.ControllerKey }, OnChange: a.applyStateChange, OnSync: func(clock.Instant) { a.recordStateListed() }, HasPeerFeed: a.canSkipStateWatch,
 	})
 	elector := election.New(election.Config{
 		Store: a.config.Store, Key: catalog.ControllerKey, Name: a.config.Name + "/" + a.config.Incarnation,
--- a/internal/agent/controller.go
+++ b/internal/agent/controller.go
@@ -49,6 +49,11 @@
 	defer a.log.Write(event.ControllerLeaseLost, slog.Int64("term", int64(t.Number())))
 	ct := &controllerTerm{agent: a, term: t, composers: map[ring.Service]*composition.Composer{}, events: make(chan serviceEvent, 1024), callSlots: make(chan struct{}, maxConcurrentCalls), pendingCalls: map[serverCall]bool{}}
 	began, ordersFrom := clock.NewInstant(), time.Now().Add(a.config.Timing.TakeoverDelay)
+	if exclusiveFrom := t.ExclusiveFrom().Add(a.config.Timing.TakeoverDelay); exclusiveFrom.After(ordersFrom) {
+		ordersFrom = exclusiveFrom
+	}
+	// After a restore, the registry may not show the replicas of an earlier controller.
+	isRegistryComplete := a.config.Store.Era().ChangedAt.Add(a.config.Timing.RestoreGrace).Before(time.Now())
 	// mayDecide reports whether the composers may run: the registry was listed in
 	// this term, and no order of an earlier controller can still take effect.
 	mayDecide := func() bool {
@@ -58,7 +63,7 @@
 		if !a.hasFullRegistry.Swap(true) {
 			ct.hasTraffic = a.hasOpenReplica()
 		}
-		return time.Now().After(ordersFrom) || a.hasNoReplicas()
+		return time.Now().After(ordersFrom) || (isRegistryComplete && a.hasNoReplicas())
 	}
 	a.serversMirror.Refresh() // This node may have dropped entries that the previous root did not know.
 	ticker := time.NewTicker(a.config.Timing.DecisionInterval)
--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -144,11 +144,17 @@
 
 // recordConfirmation records that a read of the configuration, by this node or a peer,
 // found no newer one than the active one. The start of the read becomes the
-// confirmation if it is later than the current confirmation.
+// confirmation if it is later than the current confirmation. A read that began within
+// RestoreGrace after a restore of the store confirms nothing: what the operator wrote
+// last may be missing.
 func (a *Agent) recordConfirmation(readStart clock.Instant) {
 	if a.Routing() == nil {
 		return
 	}
+	restoredAt := a.config.Store.Era().ChangedAt
+	if !restoredAt.IsZero() && readStart.Age() > time.Since(restoredAt)-a.config.Timing.RestoreGrace {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.confirmedAt.IsZero() || a.confirmedAt.Age() > readStart.Age() {
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -37,6 +37,9 @@
 	// the burst of the notices' rate limit, both in bytes.
 	noticeBytes = datagramOverhead + 12
 	noticeBurst = 2000
+	// membershipCheckInterval is how often a node checks whether its membership record
+	// must be renewed, or written again after a restore of the store.
+	membershipCheckInterval = 250 * time.Millisecond
 	// datagramOverhead is the size of a datagram's IP and UDP headers, in bytes.
 	datagramOverhead = 28
 	// peerTimeout is the time without a digest after which a peer counts as lost and
@@ -70,11 +73,24 @@
 }
 
 // runMembershipLoop keeps the node's membership record in the store under a lease.
-// Peers find the node by this record. When the context ends, it revokes the lease,
+// Peers find the node by this record. The record is written again at once when the
+// node learns that the store was restored, which ends all leases. When the context ends, it revokes the lease,
 // which deletes the record.
 func (a *Agent) runMembershipLoop(ctx context.Context) {
 	var lease ring.Lease
-	clock.Every(ctx, a.config.Timing.MembershipTTL/4, func(ctx context.Context) {
+	var renewAt time.Time
+	var known ring.StoreEra
+	clock.Every(ctx, membershipCheckInterval, func(ctx context.Context) {
+		current := a.config.Store.Era()
+		isRestored := current.Number != known.Number && !current.ChangedAt.IsZero()
+		if isRestored {
+			a.log.Write(event.StoreRestored, slog.Int64("era", int64(current.Number)), slog.Int64("before", int64(known.Number)))
+		}
+		known = current
+		if !isRestored && time.Now().Before(renewAt) {
+			return
+		}
+		renewAt = time.Now().Add(a.config.Timing.MembershipTTL / 4)
 		next, err := a.keepMembership(ctx, lease)
 		if err != nil && ctx.Err() == nil {
 			a.log.Write(event.StoreCallFailed, slog.String("doing", "write or renew the membership record"), slog.Any("error", err))
@@ -209,7 +225,7 @@
 	loads, stalled := a.fleet.LocalState(now)
 	d := &digest.Digest{
 		Name: a.config.Name, Incarnation: a.config.Incarnation, Draining: a.draining.Load(),
-		ConfigNumber: a.configNumber(), Loads: map[uint64]int{}, StalledMillis: map[uint64]int64{}, Abandoned: a.abandonedForMessage(),
+		Era: int64(a.config.Store.Era().Number), ConfigNumber: a.configNumber(), Loads: map[uint64]int{}, StalledMillis: map[uint64]int64{}, Abandoned: a.abandonedForMessage(),
 	}
 	for e, n := range loads {
 		d.Loads[uint64(e)] = n
@@ -275,6 +291,7 @@
 		return
 	}
 	now := time.Now()
+	a.config.Store.ObserveEra(ring.Era(d.Era))
 	a.recordPeer(from, d, now)
 	loads := make(map[ring.Epoch]int, len(d.Loads))
 	for e, n := range d.Loads {
--- a/internal/agent/summary.go
+++ b/internal/agent/summary.go
@@ -47,7 +47,7 @@
 		s := statusOf(e)
 		s.StalledMillis = max(s.StalledMillis, ms)
 	}
-	out := digest.Report{Name: a.config.Name, Nodes: 1, ConfigNumber: own.ConfigNumber, ConfirmedAgeMillis: own.ConfirmedAgeMillis}
+	out := digest.Report{Name: a.config.Name, Nodes: 1, ConfigNumber: own.ConfigNumber, ConfirmedAgeMillis: own.ConfirmedAgeMillis, Era: own.Era}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ownRetryUsage != nil {
@@ -64,6 +64,7 @@
 			continue
 		}
 		out.Nodes += c.report.Nodes
+		out.Era = max(out.Era, c.report.Era)
 		out.Requests += c.report.Requests
 		out.Retries += c.report.Retries
 		for _, s := range c.report.Replicas {
@@ -99,6 +100,7 @@
 // regular interval has passed.
 func (a *Agent) applyReport(from string, r *digest.Report) {
 	now := time.Now()
+	a.config.Store.ObserveEra(ring.Era(r.Era))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.tree.children == nil {
@@ -138,6 +140,7 @@
 // summaries that are repeated, out of order or of an earlier term.
 func (a *Agent) applySummary(from string, s *digest.Summary) {
 	now := time.Now()
+	a.config.Store.ObserveEra(ring.Era(s.Era))
 	a.mu.Lock()
 	if from == a.regularParent() {
 		a.tree.skippedParents = 0
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -264,13 +264,13 @@
 	if isPartial {
 		partial := digest.Summary{
 			Root: a.config.Name, Term: term, Sequence: sequence, Nodes: report.Nodes, ConfigNumber: report.ConfigNumber, ConfirmedAgeMillis: report.ConfirmedAgeMillis,
-			IsPartial: true, Abandoned: a.abandonedForMessage(),
+			IsPartial: true, Abandoned: a.abandonedForMessage(), Era: report.Era,
 		}
 		return a.forwardSummary(partial) + a.forwardEntries(entries)
 	}
 	sent := a.forwardSummary(digest.Summary{
 		Root: a.config.Name, Term: term, Sequence: sequence, Nodes: report.Nodes, ConfigNumber: report.ConfigNumber, ConfirmedAgeMillis: report.ConfirmedAgeMillis, Replicas: report.Replicas,
-		Checksums: a.registryChecksums(), HasFullRegistry: a.hasFullRegistry.Load(), NodesChecksum: a.nodesChecksum(), Abandoned: a.abandonedForMessage(), Requests: report.Requests, Retries: report.Retries,
+		Checksums: a.registryChecksums(), HasFullRegistry: a.hasFullRegistry.Load(), NodesChecksum: a.nodesChecksum(), Abandoned: a.abandonedForMessage(), Requests: report.Requests, Retries: report.Retries, Era: report.Era,
 	})
 	a.applyReplicaStatuses(report.Replicas, now)
 	a.retryPool.Update(retry.Usage{Requests: report.Requests, Retries: report.Retries}, now.Add(retryPoolTTL))
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -81,8 +81,19 @@
 }
 
 // epochsPerTerm is the number of replica epochs that one term of the controller can
-// use.
-const epochsPerTerm = 1 << 20
+// use. revisionsPerEra is added to the term's number for each restore of the store.
+// After a restore the store gives out numbers again, but from a copy that is at most
+// seconds old, so the later term has the larger sum. The sums also leave the epochs
+// small enough for exact representation by every JSON decoder.
+const (
+	epochsPerTerm   = 1 << 20
+	revisionsPerEra = 1 << 24
+)
+
+// firstEpoch returns the epoch before those of a term.
+func firstEpoch(term ring.Revision) ring.Epoch {
+	return ring.Epoch(int64(term.Era())*revisionsPerEra+term.Number()) * epochsPerTerm
+}
 
 // Composer decides which servers of one service form which replicas, and which orders
 // the servers get. The zero value is not usable; call New.
@@ -118,7 +129,7 @@
 // server until the first ViewUpdated.
 func New(c Config) *Composer {
 	return &Composer{
-		options: c.Options, epoch: ring.Epoch(c.Term) * epochsPerTerm,
+		options: c.Options, epoch: firstEpoch(c.Term),
 		listed: map[ring.VM]ring.Server{}, replicas: map[ring.Epoch]*replica{}, ended: map[ring.Epoch]replicaEnd{}, incomplete: map[ring.Epoch]time.Time{}, missingSince: map[domainModel]time.Time{}, servers: map[ring.VM]*serverState{},
 	}
 }
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -48,6 +48,9 @@
 	// Abandoned lists replicas that the controller no longer uses though their
 	// heads are still registered as open.
 	Abandoned []uint64 `cbor:"8,keyasint,omitempty"`
+	// Era is the newest era of the store that the node knows: it rises with each restore
+	// of the store from an older copy.
+	Era int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // ProbeRequest asks a peer to inspect the backend server at an address, which the
@@ -87,6 +90,8 @@
 	// Requests and Retries are the retry usage of all these nodes; see retry.Usage.
 	Requests int
 	Retries  int
+	// Era is as in Digest.
+	Era int64
 }
 
 // Summary carries the aggregated state of all nodes from the root of the tree of nodes,
@@ -111,10 +116,11 @@
 	// IsPartial is set in a summary sent before the regular interval has passed. It
 	// leaves out Replicas, Checksums, NodesChecksum, Requests and Retries.
 	IsPartial bool
-	// Abandoned is as in Digest; Requests and Retries are as in Report.
+	// Abandoned and Era are as in Digest; Requests and Retries are as in Report.
 	Abandoned []uint64
 	Requests  int
 	Retries   int
+	Era       int64
 }
 
 // BucketCount is the number of buckets into which the registry's entries are divided
--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -5,13 +5,15 @@
 // Terms:
 //
 //   - Term: the time for which one node holds the key. Its number is the revision
-//     that wrote the key, so a later term has a larger number.
+//     that wrote the key, so a later term has a larger number, also after a restore of
+//     the store, which begins a new era.
 //   - Margin: the last part of the lease's TTL, in which the node no longer acts as
 //     the leader, because clocks drift.
 //
 // Invariants: a node acts as the leader only while its lease certainly holds. The
 // TTL counts from before the last successful renewal was sent, and includes time for
-// which the VM was suspended.
+// which the VM was suspended. A term ends when the node learns, by any response of the
+// store or from a peer, that the store was restored.
 package election
 
 import (
@@ -51,9 +53,14 @@
 	OnError func(operation string, err error)
 }
 
+// leaseCheckInterval is how often a leader checks whether it still holds its lease.
+const leaseCheckInterval = 100 * time.Millisecond
+
 // Elector makes one node campaign for the key and lead while it holds the key.
 type Elector struct {
 	config Config
+	// startedAt is when the elector was made.
+	startedAt time.Time
 	// unrevoked holds this node's leases that could not be revoked. The key may be
 	// bound to one of them, and then no node can win it until that lease ends. A
 	// store that was down may not have counted the outage against the leases' TTL.
@@ -62,13 +69,17 @@
 
 // New returns an elector that does nothing until Run is called.
 func New(c Config) *Elector {
-	return &Elector{config: c}
+	return &Elector{config: c, startedAt: time.Now()}
 }
 
 // Term is the time for which this node holds the key as the leader.
 type Term struct {
 	number ring.Revision
 	lease  ring.Lease
+	// era returns the newest era of the store that this node knows.
+	era func() ring.StoreEra
+	// exclusiveFrom is when no node can lead in an earlier term any more.
+	exclusiveFrom time.Time
 	// validFor is how long the lease certainly holds after renewedAt, which is just
 	// before its last successful renewal was sent.
 	validFor time.Duration
@@ -82,12 +93,18 @@
 // larger numbers.
 func (t *Term) Number() ring.Revision { return t.number }
 
+// ExclusiveFrom returns the time from which no other node can still believe that it
+// leads in an earlier term. A restore of the store ends the leases without the
+// knowledge of their holders, so this may be after the term began. The node of the term
+// may have started after the restore, and then it does not know of it.
+func (t *Term) ExclusiveFrom() time.Time { return t.exclusiveFrom }
+
 // HoldsLease reports whether the term's lease certainly holds now, so that the node
 // may act as the leader.
 func (t *Term) HoldsLease() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.ended && t.renewedAt.Age() < t.validFor
+	return !t.ended && t.renewedAt.Age() < t.validFor && t.era().Number <= t.number.Era()
 }
 
 // recordRenewal extends the term after a successful renewal of the lease. renewedAt
@@ -153,7 +170,11 @@
 		Writes: []ring.Write{{Key: e.config.Key, Value: []byte(e.config.Name), Lease: lease}},
 	})
 	if err == nil && result.Succeeded {
-		return &Term{number: result.Revision, lease: lease, validFor: e.config.LeaseTTL - e.config.Margin, renewedAt: begin}
+		exclusiveFrom := e.startedAt
+		if changedAt := e.config.Store.Era().ChangedAt; changedAt.After(exclusiveFrom) {
+			exclusiveFrom = changedAt
+		}
+		return &Term{exclusiveFrom: exclusiveFrom.Add(e.config.LeaseTTL), number: result.Revision, lease: lease, era: e.config.Store.Era, validFor: e.config.LeaseTTL - e.config.Margin, renewedAt: begin}
 	}
 	if err != nil {
 		e.config.OnError("write the controller's key", err)
@@ -187,6 +208,13 @@
 		defer cancel()
 		e.config.Lead(ctx, t)
 	})
+	wait.Go(func() {
+		clock.Every(ctx, leaseCheckInterval, func(context.Context) {
+			if !t.HoldsLease() {
+				cancel() // A renewal may wait for a response for longer than the lease holds.
+			}
+		})
+	})
 	lost := false
 	for ctx.Err() == nil && t.HoldsLease() && !lost {
 		clock.Sleep(ctx, e.config.RenewInterval)
--- /dev/null
+++ b/internal/era/era_test.go
@@ -0,0 +1,31 @@
+package era
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+)
+
+func TestTrackerKeepsTheNewestEra(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(100, 0)
+	var tracker Tracker
+	is.True(tracker.Observe(3, start))
+	is.True(tracker.State().ChangedAt.IsZero()) // the first era that is known is no restore
+	is.True(tracker.Observe(5, start.Add(time.Second)))
+	is.True(!tracker.Observe(4, start.Add(2*time.Second))) // a late response
+	is.Equal(tracker.State(), ring.StoreEra{Number: 5, ChangedAt: start.Add(time.Second)})
+}
+
+func TestRevisionsOfALaterEraAreLarger(t *testing.T) {
+	is := is.New(t)
+	before, after := ring.RevisionAt(1, 5000), ring.RevisionAt(2, 4990)
+	is.True(after > before)
+	is.Equal(after.Era(), ring.Era(2))
+	is.Equal(after.Number(), int64(4990))
+	is.Equal(ring.RevisionAt(0, 7), ring.Revision(7)) // a store without eras
+	is.Equal(ring.LeaseAt(2, 9).Number(), int64(9))
+}
--- a/internal/etcd/client.go
+++ b/internal/etcd/client.go
@@ -235,6 +235,13 @@
 	return nil
 }
 
+// Era implements ring.Store. The etcd API names no eras: a cluster that is restored
+// from a copy must not be used with the running nodes.
+func (c *Client) Era() ring.StoreEra { return ring.StoreEra{} }
+
+// ObserveEra implements ring.Store. It does nothing.
+func (c *Client) ObserveEra(ring.Era) {}
+
 // Watch implements ring.Store. It opens its own connection, so that discarding
 // the shared one after a timeout does not end the watch.
 func (c *Client) Watch(ctx context.Context, prefix string, from ring.Revision, sink func(ring.Changes)) error {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -33,6 +33,7 @@
 	StoreCallFailed          = Kind{207, "store call failed", slog.LevelWarn}
 	ServerRemoved            = Kind{208, "registry entry removed", slog.LevelInfo}
 	ServerInvalid            = Kind{209, "registry entry invalid", slog.LevelWarn}
+	StoreRestored            = Kind{210, "store was restored from a copy", slog.LevelWarn} // its era has risen; what was written last is gone until it is written again
 	PeerFound                = Kind{301, "peer found", slog.LevelInfo}
 	PeerLost                 = Kind{302, "peer lost", slog.LevelWarn}
 	ControllerLeaseAcquired  = Kind{303, "controller lease acquired", slog.LevelInfo}
@@ -67,7 +68,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		Started, Draining, Stopped, SettingsChecked,
-		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid,
+		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored,
 		PeerFound, PeerLost, ControllerLeaseAcquired, ControllerLeaseLost, MembershipLeaseLost, PeerRecordInvalid, DigestNotSent, ConfigurationFetchFailed,
 		GroupRecordWritten, GroupRecordRejected, OrderSent, OrderFailed, OrderFenced, VMLeaving, CapacityChanged, GroupRecovered,
 		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused,
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -7,6 +7,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/era"
 	"eelgrassring.dev/internal/standin/platform"
 )
 
@@ -21,6 +22,7 @@
 // simulated key-value store), with its own faults. It implements ring.Store.
 type Store struct {
 	keys *platform.Keyspace
+	eras era.Tracker
 
 	mu         sync.Mutex
 	fault      platform.Fault
@@ -127,11 +129,21 @@
 	return fault, delay, nil
 }
 
+// observeEra records the era that a response named.
+func (s *Store) observeEra() { s.eras.Observe(s.keys.Era().Number, time.Now()) }
+
+// Era implements ring.Store.
+func (s *Store) Era() ring.StoreEra { return s.eras.State() }
+
+// ObserveEra implements ring.Store.
+func (s *Store) ObserveEra(e ring.Era) { s.eras.Observe(e, time.Now()) }
+
 // Get implements ring.Store.
 func (s *Store) Get(ctx context.Context, key string) (ring.Entry, bool, error) {
 	if _, _, err := s.startCall(ctx, false, func(c *StoreCalls) { c.Reads++ }); err != nil {
 		return ring.Entry{}, false, err
 	}
+	defer s.observeEra()
 	return s.keys.Get(ctx, key)
 }
 
@@ -140,6 +152,7 @@
 	if _, _, err := s.startCall(ctx, false, func(c *StoreCalls) { c.Reads++ }); err != nil {
 		return nil, 0, err
 	}
+	defer s.observeEra()
 	return s.keys.List(ctx, prefix)
 }
 
@@ -167,6 +180,9 @@
 		return nil, errors.Join(ring.ErrOutcomeUnknown, errStoreDown)
 	}
 	results, err := s.keys.CommitEach(ctx, txns)
+	if err == nil && fault != platform.FaultResponseLost {
+		s.observeEra()
+	}
 	if err == nil && fault == platform.FaultResponseLost {
 		return nil, errors.Join(ring.ErrOutcomeUnknown, errStoreDown)
 	}
@@ -178,6 +194,7 @@
 	if _, _, err := s.startCall(ctx, true, func(c *StoreCalls) { c.Writes++ }); err != nil {
 		return 0, err
 	}
+	defer s.observeEra()
 	return s.keys.Grant(ctx, ttl)
 }
 
@@ -186,6 +203,7 @@
 	if _, _, err := s.startCall(ctx, false, func(c *StoreCalls) { c.Renewals++ }); err != nil {
 		return err
 	}
+	defer s.observeEra()
 	return s.keys.Renew(ctx, lease)
 }
 
@@ -194,6 +212,7 @@
 	if _, _, err := s.startCall(ctx, true, func(c *StoreCalls) { c.Writes++ }); err != nil {
 		return err
 	}
+	defer s.observeEra()
 	return s.keys.Revoke(ctx, lease)
 }
 
@@ -202,6 +221,7 @@
 	if _, _, err := s.startCall(ctx, false, func(c *StoreCalls) { c.Watches++ }); err != nil {
 		return err
 	}
+	defer s.observeEra() // A watch also ends when the store is restored.
 	return s.keys.Watch(ctx, prefix, from, func(c ring.Changes) {
 		s.mu.Lock()
 		fault := s.fault
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -8,10 +8,13 @@
 //   - Outage: a time in which no call to the store succeeded.
 //   - Grace period: the time after an outage in which a deleted key may return,
 //     because its lease expired while its owner could not renew it.
+//   - Restore: the store continues from an older copy, in a new era. Its owners write
+//     the lost keys and changes again within the grace period.
 //
-// Invariants: changes of a key are reported in the order of their revisions; a
-// key that disappears around an outage is reported as deleted only if it has
-// not returned by the end of the grace period.
+// Invariants: changes of a key are reported in the order of their revisions, of which
+// those of a later era are larger; a key that disappears around an outage or a restore
+// is reported as deleted, and one that a restore set back as changed, only if its
+// owner has not written it again by the end of the grace period.
 package mirror
 
 import (
@@ -41,9 +44,14 @@
 	// RetryInterval is the delay after a failed call.
 	RetryInterval time.Duration
 	// GracePeriod is the time for which deletions are held back after an outage
-	// of at least MinOutage.
-	GracePeriod time.Duration
-	MinOutage   time.Duration
+	// of at least MinOutage. RestoreGrace is the time for which deletions and changes
+	// to older values are held back after a restore.
+	GracePeriod  time.Duration
+	MinOutage    time.Duration
+	RestoreGrace time.Duration
+	// ReportsAtOnce reports whether the deletion of a key is never held back. If it is
+	// nil, every deletion may be.
+	ReportsAtOnce func(key string) bool
 	// OnChange is called for each change, OnConnectionChange when calls to the store
 	// begin to fail or succeed again. Both are called from several goroutines; calls
 	// of OnChange never overlap.
@@ -65,10 +73,14 @@
 	mu sync.Mutex
 	// revisions holds the last reported revision of each key.
 	revisions map[string]ring.Revision
-	// pendingDeletions holds deletions until the end of the grace period.
+	// pendingDeletions holds deletions, and setbacks the older values of keys that a
+	// restore set back, until the end of the grace period.
 	pendingDeletions map[string]ring.Change
+	setbacks         map[string]ring.Change
 	lastSuccess      time.Time
 	graceEnd         time.Time
+	// era is that of the newest listing.
+	era ring.Era
 	// isStoreUp is set if the last call to the store succeeded.
 	isStoreUp bool
 	// failures counts consecutive failed calls.
@@ -81,7 +93,7 @@
 
 // New returns a mirror; Run starts it.
 func New(c Config) *Mirror {
-	return &Mirror{config: c, revisions: map[string]ring.Revision{}, pendingDeletions: map[string]ring.Change{}, isStoreUp: true, syncRequested: make(chan struct{}, 1)}
+	return &Mirror{config: c, revisions: map[string]ring.Revision{}, pendingDeletions: map[string]ring.Change{}, setbacks: map[string]ring.Change{}, isStoreUp: true, syncRequested: make(chan struct{}, 1)}
 }
 
 // Run watches the prefix and reports changes until the context ends.
@@ -89,7 +101,7 @@
 	var wait sync.WaitGroup
 	wait.Go(func() { m.resyncLoop(ctx) })
 	wait.Go(func() {
-		clock.Every(ctx, m.config.RetryInterval, func(context.Context) { m.reportExpiredDeletions(time.Now()) })
+		clock.Every(ctx, m.config.RetryInterval, func(context.Context) { m.endGracePeriod(time.Now()) })
 	})
 	m.watchLoop(ctx)
 	wait.Wait()
@@ -208,6 +220,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.noteEra(revision.Era())
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
@@ -215,7 +228,9 @@
 			m.config.OnChange(ring.Change{Entry: e})
 			continue
 		}
-		m.applyChange(ring.Change{Entry: e}, now)
+		if !m.holdSetback(ring.Change{Entry: e}, now) {
+			m.applyChange(ring.Change{Entry: e}, now)
+		}
 	}
 	m.isRefreshPending = false
 	for key, modified := range m.revisions {
@@ -230,6 +245,35 @@
 	return revision, true
 }
 
+// noteEra starts the grace period of a restore if a listing is of a later era than the
+// one before. The period counts from when the client of the store learned of the
+// restore, which may have been before this listing. mu is held.
+func (m *Mirror) noteEra(e ring.Era) {
+	if m.era != 0 && e > m.era {
+		if end := m.config.Store.Era().ChangedAt.Add(m.config.RestoreGrace); end.After(m.graceEnd) {
+			m.graceEnd = end
+		}
+	}
+	m.era = max(m.era, e)
+}
+
+// holdSetback holds back a listed value that may be older than the last reported one:
+// it has a smaller number, in a later era. A value that was written again since the
+// restore is not held if an earlier listing of the era had an older one, or if the
+// watch reports it. holdSetback reports whether it held the value. mu is held.
+func (m *Mirror) holdSetback(c ring.Change, now time.Time) bool {
+	known, modified := m.revisions[c.Entry.Key], c.Entry.Modified
+	if !now.Before(m.graceEnd) || known.Era() >= modified.Era() || known.Number() <= modified.Number() {
+		return false
+	}
+	if held, isHeld := m.setbacks[c.Entry.Key]; isHeld && held.Entry.Modified < modified {
+		return false
+	}
+	delete(m.pendingDeletions, c.Entry.Key)
+	m.setbacks[c.Entry.Key] = c
+	return true
+}
+
 // applyChanges reports a batch of changes from the watch.
 func (m *Mirror) applyChanges(c ring.Changes, now time.Time) {
 	m.recordCallResult(nil, now)
@@ -245,6 +289,7 @@
 // held.
 func (m *Mirror) applyChange(c ring.Change, now time.Time) {
 	key := c.Entry.Key
+	delete(m.setbacks, key)
 	if !c.Deleted {
 		delete(m.pendingDeletions, key)
 		if m.revisions[key] >= c.Entry.Modified {
@@ -257,7 +302,7 @@
 	if _, known := m.revisions[key]; !known || m.revisions[key] > c.Entry.Modified {
 		return
 	}
-	if now.Before(m.graceEnd) {
+	if now.Before(m.graceEnd) && (m.config.ReportsAtOnce == nil || !m.config.ReportsAtOnce(key)) {
 		m.pendingDeletions[key] = c
 		return
 	}
@@ -270,9 +315,9 @@
 	m.config.OnChange(c)
 }
 
-// reportExpiredDeletions reports the held-back deletions if the grace period has
+// endGracePeriod reports the held-back deletions and setbacks if the grace period has
 // ended. While the store is down it reports none.
-func (m *Mirror) reportExpiredDeletions(now time.Time) {
+func (m *Mirror) endGracePeriod(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if now.Before(m.graceEnd) || !m.isStoreUp {
@@ -284,6 +329,9 @@
 			m.reportDeletion(c)
 		}
 	}
+	for _, c := range m.setbacks {
+		m.applyChange(c, now)
+	}
 }
 
 // recordCallResult records the result of a call to the store; a nil err means
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -168,3 +169,66 @@
 		is.True(f.hasKey("s/a"))
 	})
 }
+
+// TestRestoreHoldsBackWhatItUndid checks that keys that a restore of the store removed
+// or set back to an older value are not reported so while their owners write them again,
+// and that what is not written again is reported when the grace period has ended.
+func TestRestoreHoldsBackWhatItUndid(t *testing.T) {
+	withMirror(t, func(is *is.I, f *fixture) {
+		f.mirror.config.RestoreGrace = 2 * time.Second
+		for _, key := range []string{"s/kept", "s/changed", "s/set-back"} {
+			f.put(key, false)
+		}
+		old := f.keys.Copy()
+		for _, key := range []string{"s/changed", "s/set-back", "s/new", "s/lost"} {
+			f.put(key, false)
+		}
+		time.Sleep(time.Second)
+		before := f.reported()
+		f.keys.Restore(old)
+		time.Sleep(1500 * time.Millisecond)
+		for key, revision := range f.reported() {
+			if key != "s/kept" {
+				is.Equal(revision, before[key]) // nothing is known of it yet
+			}
+		}
+		is.Equal(len(f.reported()), len(before))
+		f.put("s/changed", false)
+		f.put("s/new", false)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(f.reported()["s/changed"].Era(), ring.Era(2))
+		is.Equal(f.reported()["s/new"].Era(), ring.Era(2))
+		time.Sleep(time.Second)
+		is.True(!f.hasKey("s/lost"))
+		is.Equal(f.reported()["s/set-back"].Era(), ring.Era(2))
+		is.True(f.hasKey("s/kept"))
+	})
+}
+
+// TestChangesAfterARestoreAreReported guards against a mirror that takes everything for
+// old after a restore, because the store's numbers are smaller than before.
+func TestChangesAfterARestoreAreReported(t *testing.T) {
+	withMirror(t, func(is *is.I, f *fixture) {
+		old := f.keys.Copy()
+		for range 50 {
+			f.put("s/a", false)
+		}
+		time.Sleep(time.Second)
+		for range 2 { // two restores within seconds
+			f.keys.Restore(old)
+			time.Sleep(500 * time.Millisecond)
+		}
+		f.put("s/a", false)
+		f.put("s/b", false)
+		time.Sleep(time.Second)
+		is.Equal(f.reported()["s/a"].Era(), ring.Era(3))
+		is.True(f.hasKey("s/b"))
+	})
+}
+
+// reported returns the last reported revision of each key.
+func (f *fixture) reported() map[string]ring.Revision {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.revisions)
+}
--- a/store.go
+++ b/store.go
@@ -13,9 +13,31 @@
 // ErrLeaseLost marks a renewal of a lease that no longer exists in the store.
 var ErrLeaseLost = errors.New("lease no longer exists")
 
-// Lease identifies a lease in the store.
+// ErrRestored marks a call whose result cannot be used because the store was restored
+// from an older copy: the response is from before the restore, or the call used a
+// lease or revision from before it.
+var ErrRestored = errors.New("store was restored from a copy")
+
+// StoreEra is the newest era of the store that a client knows. ChangedAt is when the
+// client learned of it; it is zero if the client has known no other era.
+type StoreEra struct {
+	Number    Era
+	ChangedAt time.Time
+}
+
+// Lease identifies a lease in the store. Like a Revision, it holds the era, because
+// the store may give out its own numbers again after a restore.
 type Lease int64
 
+// LeaseAt returns the lease with the service's own number in an era.
+func LeaseAt(e Era, number int64) Lease { return Lease(RevisionAt(e, number)) }
+
+// Era returns the era in which the service granted the lease.
+func (l Lease) Era() Era { return Revision(l).Era() }
+
+// Number returns the service's own number of the lease.
+func (l Lease) Number() int64 { return Revision(l).Number() }
+
 // Entry is a key of the store with its value. Created is the revision at which
 // the key was last created, Modified that of its last write. Lease is the lease
 // with which the key expires, or 0.
@@ -114,4 +136,9 @@
 	// revision from. It returns an error when the context ends or the stream
 	// fails.
 	Watch(ctx context.Context, prefix string, from Revision, sink func(Changes)) error
+	// Era returns the newest era that a response or ObserveEra has named.
+	Era() StoreEra
+	// ObserveEra tells the client of an era that a peer knows. Responses of earlier
+	// eras are errors from then on.
+	ObserveEra(e Era)
 }
