--- a/identity.go
+++ b/identity.go
@@ -33,8 +33,8 @@
 // if the service does not name its eras.
 type Era int64
 
-// eraShift is the number of bits of a Revision or Lease that hold the service's own
-// number, below the era.
+// eraShift is the number of bits of a Revision that hold the service's own number,
+// below the era.
 const eraShift = 40
 
 // Revision numbers the states of the platform's key-value service in order. After a
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -97,7 +97,7 @@
 		}
 		lease = next
 	})
-	if lease == 0 {
+	if lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
@@ -107,11 +107,11 @@
 	}
 }
 
-// keepMembership renews the lease of the membership record. If lease is 0 or was
-// lost, it writes the record under a new lease. It returns the current lease, or 0
-// if there is none.
+// keepMembership renews the lease of the membership record. If there is none or it was
+// lost, it writes the record under a new lease. It returns the current lease, or
+// none.
 func (a *Agent) keepMembership(ctx context.Context, lease ring.Lease) (ring.Lease, error) {
-	if lease != 0 {
+	if !lease.IsZero() {
 		err := a.config.Store.Renew(ctx, lease)
 		if !isLeaseLost(err) {
 			return lease, err
@@ -120,15 +120,15 @@
 	}
 	lease, err := a.config.Store.Grant(ctx, a.config.Timing.MembershipTTL)
 	if err != nil {
-		return 0, err
+		return ring.Lease{}, err
 	}
 	value, err := json.Marshal(memberRecord{Address: a.config.PeerAddress, Zone: string(a.config.Zone), Incarnation: a.config.Incarnation})
 	if err != nil {
-		return 0, err
+		return ring.Lease{}, err
 	}
 	write := ring.Write{Key: catalog.NodeKey(a.config.Name), Value: value, Lease: lease}
 	if _, err := a.config.Store.Commit(ctx, ring.Txn{Writes: []ring.Write{write}}); err != nil {
-		return 0, err
+		return ring.Lease{}, err
 	}
 	return lease, nil
 }
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -141,12 +141,12 @@
 func (l *Ledger) currentLease(ctx context.Context, now time.Time) (ring.Lease, error) {
 	<-l.leaseToken
 	defer func() { l.leaseToken <- struct{}{} }()
-	if l.lease != 0 && now.Before(l.leaseUntil) {
+	if !l.lease.IsZero() && now.Before(l.leaseUntil) {
 		return l.lease, nil
 	}
 	lease, err := l.store.Grant(ctx, retention)
 	if err != nil {
-		return 0, err
+		return ring.Lease{}, err
 	}
 	l.lease = lease
 	l.leaseUntil = now.Add(leaseReuseTime)
@@ -159,7 +159,7 @@
 	<-l.leaseToken
 	defer func() { l.leaseToken <- struct{}{} }()
 	if l.lease == lease {
-		l.lease = 0
+		l.lease = ring.Lease{}
 	}
 }
 
--- a/internal/etcd/client.go
+++ b/internal/etcd/client.go
@@ -192,9 +192,9 @@
 		return pb.NewLeaseClient(conn).LeaseGrant(ctx, &pb.LeaseGrantRequest{TTL: seconds})
 	})
 	if err != nil {
-		return 0, writeError("grant lease", err)
+		return ring.Lease{}, writeError("grant lease", err)
 	}
-	return ring.Lease(r.ID), nil
+	return ring.Lease{Number: r.ID}, nil
 }
 
 // Renew implements ring.Store.
@@ -218,7 +218,7 @@
 		return nil, err
 	}
 	defer stream.CloseSend()
-	if err := stream.Send(&pb.LeaseKeepAliveRequest{ID: int64(lease)}); err != nil {
+	if err := stream.Send(&pb.LeaseKeepAliveRequest{ID: lease.Number}); err != nil {
 		return nil, err
 	}
 	return stream.Recv()
@@ -227,7 +227,7 @@
 // Revoke implements ring.Store.
 func (c *Client) Revoke(ctx context.Context, lease ring.Lease) error {
 	_, err := callWithTimeout(ctx, c, func(ctx context.Context, conn *grpc.ClientConn) (*pb.LeaseRevokeResponse, error) {
-		return pb.NewLeaseClient(conn).LeaseRevoke(ctx, &pb.LeaseRevokeRequest{ID: int64(lease)})
+		return pb.NewLeaseClient(conn).LeaseRevoke(ctx, &pb.LeaseRevokeRequest{ID: lease.Number})
 	})
 	if err != nil {
 		return writeError("revoke lease", err)
@@ -300,7 +300,7 @@
 		Value:    kv.Value,
 		Created:  ring.Revision(kv.CreateRevision),
 		Modified: ring.Revision(kv.ModRevision),
-		Lease:    ring.Lease(kv.Lease),
+		Lease:    ring.Lease{Number: kv.Lease},
 	}
 }
 
@@ -332,7 +332,7 @@
 			RequestDeleteRange: &pb.DeleteRangeRequest{Key: []byte(w.Key)}}}
 	}
 	return &pb.RequestOp{Request: &pb.RequestOp_RequestPut{
-		RequestPut: &pb.PutRequest{Key: []byte(w.Key), Value: w.Value, Lease: int64(w.Lease)}}}
+		RequestPut: &pb.PutRequest{Key: []byte(w.Key), Value: w.Value, Lease: w.Lease.Number}}}
 }
 
 // PrefixEnd returns the exclusive end of the key range that holds all keys with
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -21,7 +21,7 @@
 	clock.Every(ctx, n.config.Timing.MembershipTTL/3, func(ctx context.Context) {
 		lease = n.ensureMembership(ctx, lease)
 	})
-	if lease == 0 {
+	if lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Second)
@@ -29,11 +29,11 @@
 	_ = n.config.Store.Revoke(ctx, lease)
 }
 
-// ensureMembership renews the membership lease. If lease is 0 or was lost, it grants
+// ensureMembership renews the membership lease. If there is none or it was lost, it grants
 // a new lease and writes the node's key under it. It returns the lease to which the
-// key is bound, or 0 if the grant or the write failed.
+// key is bound, or none if the grant or the write failed.
 func (n *Node) ensureMembership(ctx context.Context, lease ring.Lease) ring.Lease {
-	if lease != 0 {
+	if !lease.IsZero() {
 		err := n.config.Store.Renew(ctx, lease)
 		if !errors.Is(err, ring.ErrLeaseLost) {
 			return lease
@@ -42,15 +42,15 @@
 	}
 	lease, err := n.config.Store.Grant(ctx, n.config.Timing.MembershipTTL)
 	if err != nil {
-		return 0
+		return ring.Lease{}
 	}
 	value, err := json.Marshal(membershipRecord{n.config.Name, n.config.PeerAddress, string(n.config.Zone), n.config.Incarnation})
 	if err != nil {
-		return 0
+		return ring.Lease{}
 	}
 	write := ring.Write{Key: catalog.NodeKey(n.config.Name), Value: value, Lease: lease}
 	if _, err := n.config.Store.Commit(ctx, ring.Txn{Writes: []ring.Write{write}}); err != nil {
-		return 0
+		return ring.Lease{}
 	}
 	return lease
 }
--- a/store.go
+++ b/store.go
@@ -25,22 +25,20 @@
 	ChangedAt time.Time
 }
 
-// Lease identifies a lease in the store. Like a Revision, it holds the era, because
-// the store may give out its own numbers again after a restore.
-type Lease int64
-
-// LeaseAt returns the lease with the service's own number in an era.
-func LeaseAt(e Era, number int64) Lease { return Lease(RevisionAt(e, number)) }
-
-// Era returns the era in which the service granted the lease.
-func (l Lease) Era() Era { return Revision(l).Era() }
+// Lease identifies a lease in the store; the zero value is no lease. It holds the era in
+// which the store granted it, because the store may give out its own numbers, which may
+// be of any size, again after a restore.
+type Lease struct {
+	Number int64
+	Era    Era
+}
 
-// Number returns the service's own number of the lease.
-func (l Lease) Number() int64 { return Revision(l).Number() }
+// IsZero reports whether l is no lease.
+func (l Lease) IsZero() bool { return l == Lease{} }
 
 // Entry is a key of the store with its value. Created is the revision at which
 // the key was last created, Modified that of its last write. Lease is the lease
-// with which the key expires, or 0.
+// with which the key expires, if any.
 type Entry struct {
 	Key      string
 	Value    []byte
@@ -79,7 +77,7 @@
 }
 
 // Write is one change within a transaction: it sets a key, or deletes it if Delete
-// is set. The key expires with Lease unless Lease is 0.
+// is set. The key expires with Lease, if it is set.
 type Write struct {
 	Key    string
 	Value  []byte
