fleet: requests that were refused for lack of a replica are traffic

Cause: the limit on loads from the weight store applies from the first request on.

Change: a node that has received a request for a model has traffic.

Test: TestRequestsWithoutReplicasAreTraffic failed before.

--- a/internal/fleet/streams.go
+++ b/internal/fleet/streams.go
@@ -360,10 +360,15 @@
 	return longest, longest > StallTimeout
 }
 
-// HasTraffic reports whether this node or a live peer has requests at any replica.
+// HasTraffic reports whether this node has received a request for a model, or a live
+// peer has requests at any replica. Requests that were refused for lack of a replica
+// count too.
 func (f *Fleet) HasTraffic(now time.Time) bool {
 	f.rLockReplicas()
 	defer f.mu.RUnlock()
+	if len(f.profiles) > 0 {
+		return true
+	}
 	for _, r := range f.replicas {
 		if s, ok := f.streams[r.Group]; (ok && s.outstanding > 0) || f.peerLoad(r.Epoch, now) > 0 {
 			return true
