composition: a replica of an unknown model is not adopted; stranded servers are counted

Cause: a server that joins a replica names no model in its entry until it is ready. A new controller that found such a replica took the listed members for all of them, with the model's size unknown, and opened the head when they were ready, although a member without an entry might never have been (PARTIAL).

Change: such a replica is not adopted; its members leave it and form others. Since replicas are formed only of servers that hold the model, that costs 2 s at most. Event 411 has the number of stranded servers of a domain.

--- a/internal/agent/controller.go
+++ b/internal/agent/controller.go
@@ -274,7 +274,7 @@
 		case composition.Inventory:
 			for _, d := range action.Counts {
 				ct.agent.log.Write(event.DomainSummary, slog.String("domain", string(d.Domain)), slog.Any("open", d.Open),
-					slog.Any("forming", d.Forming), slog.Any("spares", d.Spares), slog.Int("loading", d.Loading))
+					slog.Any("forming", d.Forming), slog.Any("spares", d.Spares), slog.Int("loading", d.Loading), slog.Int("stranded", d.Stranded))
 			}
 		case composition.Decision:
 			ct.agent.log.Write(event.ReplicaChanged, slog.String("group", string(action.Group)), slog.Uint64("epoch", uint64(action.Epoch)),
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -141,13 +141,15 @@
 // DomainCount counts the replicas and spares of one fabric domain by model. Forming
 // counts all replicas that are not in phaseOpen, including those being released.
 // Spares counts the spares that have loaded a model, Loading the spares that have not
-// yet.
+// yet. Stranded counts the servers that hold a model and are in no open replica although
+// the domain lacks an open replica of some model.
 type DomainCount struct {
-	Domain  ring.Domain
-	Open    map[ring.Model]int
-	Forming map[ring.Model]int
-	Spares  map[ring.Model]int
-	Loading int
+	Domain   ring.Domain
+	Open     map[ring.Model]int
+	Forming  map[ring.Model]int
+	Spares   map[ring.Model]int
+	Loading  int
+	Stranded int
 }
 
 // Inventory reports how many replicas and spares each domain has, for the log.
--- a/internal/composition/inventory.go
+++ b/internal/composition/inventory.go
@@ -44,6 +44,7 @@
 			}
 		}
 	}
+	c.countStranded(counts)
 	var out Inventory
 	for _, d := range counts {
 		out.Counts = append(out.Counts, *d)
@@ -51,3 +52,25 @@
 	sort.Slice(out.Counts, func(i, j int) bool { return out.Counts[i].Domain < out.Counts[j].Domain })
 	c.actions = append(c.actions, out)
 }
+
+// countStranded sets DomainCount.Stranded of the given domains.
+func (c *Composer) countStranded(counts map[ring.Domain]*DomainCount) {
+	isServing := map[ring.VM]bool{}
+	for _, r := range c.replicas {
+		for _, m := range r.members {
+			isServing[m.id] = r.phase == phaseOpen
+		}
+	}
+	for _, s := range c.view.Servers {
+		d := counts[s.Domain]
+		if d == nil || isServing[s.ID] || s.Leaving || c.server(s.ID).dead || c.holdsNothing(s) {
+			continue
+		}
+		for _, m := range c.view.Service.Models {
+			if d.Open[m.Name] == 0 {
+				d.Stranded++
+				break
+			}
+		}
+	}
+}
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -158,7 +158,8 @@
 // adoptReplica takes over one replica of an earlier controller. If all its members
 // are listed, the replica continues in the phase that their entries show, or is
 // dropped if its head is broken. Otherwise it is dropped at once if its head is
-// listed but neither open nor closing. After EntryGrace it is released if its head is
+// listed but neither open nor closing. A replica that is not open and whose model no
+// member names yet is dropped too. After EntryGrace it is released if its head is
 // open or closing, and its members are freed if its head is not listed.
 func (c *Composer) adoptReplica(epoch ring.Epoch, servers []ring.Server, now time.Time) {
 	var head ring.Server
@@ -171,7 +172,13 @@
 	if !known {
 		model = ring.ReplicaModel{Name: modelOf(servers), Size: len(servers)}
 	}
-	isHeadServing := head.Membership.State == ring.MemberOpen || head.Membership.State == ring.MemberClosing
+	if model.Name == "" && head.ID != "" && !isServing(head) {
+		// No member has been ready, so no entry names the model, and the replica's size
+		// is unknown: listed members could be taken for all of them.
+		c.ended[epoch] = endOfUnopened(head)
+		return
+	}
+	isHeadServing := isServing(head)
 	r := &replica{group: servers[0].Membership.Group, epoch: epoch, model: model, isAdopted: true, startedAt: now, deadline: now.Add(model.LoadTime + c.options.JoinSlack)}
 	r.members = membersByRank(servers)
 	isComplete := len(r.members) == model.Size && head.ID != ""
@@ -203,6 +210,11 @@
 	c.addDecision(Decision{Group: r.group, Epoch: epoch, Model: model.Name, What: "adopted as " + string(r.phase)})
 }
 
+// isServing reports whether the head has requests or may get some.
+func isServing(head ring.Server) bool {
+	return head.Membership.State == ring.MemberOpen || head.Membership.State == ring.MemberClosing
+}
+
 // endOfUnopened returns the end of an earlier controller's replica whose head is
 // listed and not open. If the head is not broken, a late order may still open it.
 func endOfUnopened(head ring.Server) replicaEnd {
--- a/internal/composition/simulation_test.go
+++ b/internal/composition/simulation_test.go
@@ -61,6 +61,9 @@
 	openAt  time.Time
 	// maxEpoch is the largest epoch of an order to join.
 	maxEpoch ring.Epoch
+	// joining is the model of the replica that the server is joining. Its entry names a
+	// model only when it is ready.
+	joining ring.Model
 	// loaded is the model in the accelerators' memory. staging is the model being
 	// loaded into the host's memory.
 	loaded  ring.Model
@@ -181,6 +184,7 @@
 func (sim *simulation) completeTransitions(s *simServer) {
 	membership := &s.server.Membership
 	if membership.State == ring.MemberJoining && s.joinLoad == 0 && sim.now.After(s.readyAt) {
+		s.server.Model = s.joining
 		if s.loaded != s.server.Model {
 			s.server.Staged = []ring.Model{s.server.Model}
 		}
@@ -362,7 +366,7 @@
 		}
 	}
 	s.server.Membership = ring.Membership{Group: o.Group, Epoch: o.Epoch, Rank: rank, State: ring.MemberJoining}
-	s.server.Model, s.members, s.readyAt, s.openAt = o.Model, o.Members, sim.now.Add(joinTime), time.Time{}
+	s.server.Model, s.joining, s.members, s.readyAt, s.openAt = "", o.Model, o.Members, sim.now.Add(joinTime), time.Time{}
 	return OutcomeDone
 }
 
--- a/internal/composition/stranded_test.go
+++ b/internal/composition/stranded_test.go
@@ -126,11 +126,7 @@
 	sim.run(c, 8*time.Second)
 	sim.hasTraffic = true
 	for live := 8; live >= 3; live-- {
-		head := sim.openHead("large", "d0")
-		if head == nil {
-			head = sim.openHead("small", "d0")
-		}
-		sim.killServer(head.members[1])
+		sim.killOpenMember()
 		sim.run(c, 5*time.Second)
 		if live < 4 {
 			sim.run(c, 10*time.Second) // Servers that changed their model load the other one again.
@@ -146,6 +142,16 @@
 	checkNoViolations(t, sim)
 }
 
+// killOpenMember kills a member of the open replica of the large model in the domain d0,
+// or of the small one if there is none.
+func (sim *simulation) killOpenMember() {
+	head := sim.openHead("large", "d0")
+	if head == nil {
+		head = sim.openHead("small", "d0")
+	}
+	sim.killServer(head.members[1])
+}
+
 // newSmallReplicaSimulation returns a simulation with nine servers in each domain, for
 // models of four and three servers.
 func newSmallReplicaSimulation(seed uint64, domains int) *simulation {
@@ -155,3 +161,47 @@
 	sim.service.Models[1].Size, sim.service.Models[1].Share = 3, 0.43
 	return sim
 }
+
+// TestInventoryCountsStrandedServers checks the number that tells an operator how many
+// live servers wait although a model lacks a replica in their domain.
+func TestInventoryCountsStrandedServers(t *testing.T) {
+	sim := newSmallReplicaSimulation(1, 1)
+	c := New(Config{Options: DefaultOptions(), Term: 7})
+	sim.run(c, 8*time.Second)
+	sim.hasTraffic = true
+	sim.run(c, time.Second)
+	if got := reportedStranded(sim, c); got != 0 {
+		t.Errorf("%d servers are stranded, want none while both models have a replica", got)
+	}
+	for range 4 { // Five servers are left, too few for a replica of each model.
+		sim.killOpenMember()
+		sim.run(c, 5*time.Second)
+	}
+	_, live := sim.stranded()
+	serving := 0
+	for _, m := range sim.service.Models {
+		serving += sim.countOpen(m.Name) * m.Size
+	}
+	if got := reportedStranded(sim, c); got != live-serving {
+		t.Errorf("%d servers are stranded, want %d", got, live-serving)
+	}
+}
+
+// reportedStranded runs the simulation until the next inventory and returns the number
+// of stranded servers in it.
+func reportedStranded(sim *simulation, c *Composer) int {
+	for {
+		sim.advanceTick()
+		actions := c.Step(ViewUpdated{View: sim.view()}, sim.now)
+		sim.performActions(c, actions)
+		for _, a := range actions {
+			if inventory, ok := a.(Inventory); ok {
+				n := 0
+				for _, d := range inventory.Counts {
+					n += d.Stranded
+				}
+				return n
+			}
+		}
+	}
+}
