--- a/internal/composition/silence_test.go
+++ b/internal/composition/silence_test.go
@@ -132,3 +132,40 @@
 		checkNoViolations(t, sim)
 	}
 }
+
+// TestMemberJoinsAnotherReplicaOnlyAfterItConfirmedThatItLeft guards against an order
+// to join that overtakes the order to leave, as both are sent at the same time. The
+// head of the replica does not respond, and may be open.
+func TestMemberJoinsAnotherReplicaOnlyAfterItConfirmedThatItLeft(t *testing.T) {
+	sim, c := newOpenSimulation(t, 1)
+	head := sim.openHead("large", "d0")
+	former := map[ring.VM]bool{}
+	for _, id := range head.members[1:] {
+		former[id] = true
+	}
+	sim.silence(head.server.ID, time.Hour, 0)
+	confirmed := map[ring.VM]bool{}
+	joined := 0
+	for end := sim.now.Add(8 * time.Second); sim.now.Before(end); {
+		sim.advanceTick()
+		actions := c.Step(ViewUpdated{View: sim.view()}, sim.now)
+		for _, a := range actions {
+			o, isOrder := a.(SendOrder)
+			if !isOrder || !former[o.ID] || o.Order.Kind != ring.OrderJoin {
+				continue
+			}
+			joined++
+			if !confirmed[o.ID] {
+				t.Fatalf("%s was ordered to join another replica before it left", o.ID)
+			}
+		}
+		sim.performActions(c, actions)
+		for id := range former {
+			confirmed[id] = sim.servers[id].server.Membership.Epoch != head.server.Membership.Epoch
+		}
+	}
+	if joined == 0 {
+		t.Error("no former member was ordered to join another replica")
+	}
+	checkNoViolations(t, sim)
+}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -175,7 +175,7 @@
 // and that what is not written again is reported when the grace period has ended.
 func TestRestoreHoldsBackWhatItUndid(t *testing.T) {
 	withMirror(t, func(is *is.I, f *fixture) {
-		f.mirror.config.RestoreGrace = 2 * time.Second
+		f.mirror.config.RestoreGrace, f.mirror.config.GracePeriod = 2*time.Second, 0
 		for _, key := range []string{"s/kept", "s/changed", "s/set-back"} {
 			f.put(key, false)
 		}
