composition, agent, platform stand-in: files split by concept, comments brought up to date

No change of behaviour: adoption, options, the pace of summaries and the restore of the keyspace have files of their own; the invariants of package composition name what holds now.

--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -74,8 +74,8 @@
 
 // runMembershipLoop keeps the node's membership record in the store under a lease.
 // Peers find the node by this record. The record is written again at once when the
-// node learns that the store was restored, which ends all leases. When the context ends, it revokes the lease,
-// which deletes the record.
+// node learns that the store was restored, which ends all leases. When the context
+// ends, it revokes the lease, which deletes the record.
 func (a *Agent) runMembershipLoop(ctx context.Context) {
 	var lease ring.Lease
 	var renewAt time.Time
@@ -108,8 +108,7 @@
 }
 
 // keepMembership renews the lease of the membership record. If there is none or it was
-// lost, it writes the record under a new lease. It returns the current lease, or
-// none.
+// lost, it writes the record under a new lease. It returns the current lease, if any.
 func (a *Agent) keepMembership(ctx context.Context, lease ring.Lease) (ring.Lease, error) {
 	if !lease.IsZero() {
 		err := a.config.Store.Renew(ctx, lease)
@@ -179,33 +178,6 @@
 	}
 }
 
-// treePace paces the regular reports and summaries of a node in the tree of nodes. A
-// full summary of many replicas takes more than a second at the rate limit. In between,
-// the root sends partial ones, so that the other nodes hear that it lives and that the
-// configuration is confirmed. They would otherwise read the store themselves.
-type treePace struct {
-	// nextFullAt is when the bytes sent so far admit the next full update.
-	nextFullAt time.Time
-}
-
-// add records an update of the given size, sent at the time now.
-func (p *treePace) add(bytes int, isPartial bool, now time.Time) {
-	if isPartial {
-		p.nextFullAt = p.nextFullAt.Add(durationAtRate(bytes, treeBytesPerSecond))
-		return
-	}
-	p.nextFullAt = now.Add(max(treeInterval, durationAtRate(bytes, treeBytesPerSecond)))
-}
-
-// delay returns the time from now until the next regular update.
-func (p *treePace) delay(isRoot bool, now time.Time) time.Duration {
-	untilFull := p.nextFullAt.Sub(now)
-	if isRoot {
-		return min(untilFull, heartbeatInterval)
-	}
-	return untilFull
-}
-
 // durationAtRate returns the time in which a rate limit of perSecond bytes admits
 // the given number of bytes.
 func durationAtRate(bytes, perSecond int) time.Duration {
--- /dev/null
+++ b/internal/composition/adopt.go
@@ -0,0 +1,151 @@
+package composition
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	ring "eelgrassring.dev"
+)
+
+// adoptReplicas takes over the replicas of earlier controllers, and those of this one
+// whose members all were out of sight and respond again. These are the replicas that
+// registry entries name but the composer does not know.
+func (c *Composer) adoptReplicas(now time.Time) {
+	found := map[ring.Epoch][]ring.Server{}
+	for _, s := range c.view.Servers {
+		if s.Membership.Group == "" || s.Membership.IsStandby() || c.replicas[s.Membership.Epoch] != nil {
+			continue
+		}
+		if end, ended := c.ended[s.Membership.Epoch]; ended && (end != endOutOfSight || c.server(s.ID).dead) {
+			continue
+		}
+		found[s.Membership.Epoch] = append(found[s.Membership.Epoch], s)
+	}
+	for _, epoch := range slices.Sorted(maps.Keys(found)) {
+		c.adoptReplica(epoch, found[epoch], now)
+	}
+}
+
+// adoptReplica takes over one replica of an earlier controller. If all its members
+// are listed, the replica continues in the phase that their entries show, or is
+// dropped if its head is broken. Otherwise it is dropped at once if its head is
+// listed but neither open nor closing. A replica that is not open and whose model no
+// member names yet is dropped too. After EntryGrace it is released if its head is
+// open or closing, and its members are freed if its head is not listed.
+func (c *Composer) adoptReplica(epoch ring.Epoch, servers []ring.Server, now time.Time) {
+	var head ring.Server
+	for _, s := range servers {
+		if s.Membership.Rank == 0 {
+			head = s
+		}
+	}
+	model, known := c.modelByName(modelOf(servers))
+	if !known {
+		model = ring.ReplicaModel{Name: modelOf(servers), Size: len(servers)}
+	}
+	if model.Name == "" && head.ID != "" && !isServing(head) {
+		// No member has been ready, so no entry names the model, and the replica's size
+		// is unknown: listed members could be taken for all of them.
+		c.ended[epoch] = endOfUnopened(head)
+		return
+	}
+	isHeadServing := isServing(head)
+	r := &replica{group: servers[0].Membership.Group, epoch: epoch, model: model, isAdopted: true, startedAt: now, deadline: now.Add(model.LoadTime + c.options.JoinSlack)}
+	r.members = membersByRank(servers)
+	isComplete := len(r.members) == model.Size && head.ID != ""
+	switch {
+	case isComplete:
+		delete(c.incomplete, epoch)
+	case head.ID != "" && !isHeadServing:
+		c.ended[epoch] = endOfUnopened(head) // It serves no requests now.
+		return
+	case !c.isGraceExpired(epoch, now):
+		return
+	}
+	switch {
+	case head.ID == "":
+		c.freeMembersOfUnlistedHead(epoch, servers, now)
+		return
+	case isHeadServing && isComplete && head.Membership.State == ring.MemberOpen:
+		r.phase = phaseOpen
+	case isHeadServing:
+		r.phase, r.isGraceful, r.deadline = phaseReleasing, true, now.Add(c.options.CloseTimeout)
+	case isComplete && head.Membership.State != ring.MemberBroken:
+		r.phase = phaseForming
+	default:
+		c.ended[epoch] = endOfUnopened(head)
+		return
+	}
+	delete(c.ended, epoch)
+	c.replicas[epoch] = r
+	c.addDecision(Decision{Group: r.group, Epoch: epoch, Model: model.Name, What: "adopted as " + string(r.phase)})
+}
+
+// isServing reports whether the head has requests or may get some.
+func isServing(head ring.Server) bool {
+	return head.Membership.State == ring.MemberOpen || head.Membership.State == ring.MemberClosing
+}
+
+// endOfUnopened returns the end of an earlier controller's replica whose head is
+// listed and not open. If the head is not broken, a late order may still open it.
+func endOfUnopened(head ring.Server) replicaEnd {
+	if head.Membership.State == ring.MemberBroken {
+		return endHeadDone
+	}
+	return endHeadMayBeOpen
+}
+
+// isGraceExpired reports whether members of a replica of an earlier controller have
+// been missing from the registry for longer than EntryGrace. The first call for a
+// replica starts the period and returns false.
+func (c *Composer) isGraceExpired(epoch ring.Epoch, now time.Time) bool {
+	since, seen := c.incomplete[epoch]
+	if !seen {
+		c.incomplete[epoch] = now
+		return false
+	}
+	return now.After(since.Add(c.options.EntryGrace))
+}
+
+// freeMembersOfUnlistedHead frees the members of a replica whose head this composer
+// never saw listed. The head may be open but disconnected from the store, so the
+// members are ordered to leave, upon which the head ends its requests as broken. The
+// head must have done so by BreakTimeout after the grace period; only then are the
+// members free.
+func (c *Composer) freeMembersOfUnlistedHead(epoch ring.Epoch, servers []ring.Server, now time.Time) {
+	until := c.incomplete[epoch].Add(c.options.EntryGrace + c.options.BreakTimeout)
+	if now.After(until) {
+		c.ended[epoch] = endHeadDone
+		c.addDecision(Decision{Group: servers[0].Membership.Group, Epoch: epoch, Model: modelOf(servers), What: "members freed: head not listed"})
+		return
+	}
+	for _, s := range servers {
+		c.server(s.ID).inUseUntil = until
+		c.addOrder(s.ID, ring.ReplicaOrder{Kind: ring.OrderLeave, Group: s.Membership.Group, Epoch: epoch}, now)
+	}
+}
+
+// modelOf returns the model that a replica's servers report, or "" if none of them
+// reports a model.
+func modelOf(servers []ring.Server) ring.Model {
+	for _, s := range servers {
+		if s.Model != "" {
+			return s.Model
+		}
+	}
+	return ""
+}
+
+// membersByRank returns the servers as members of a replica sorted by rank, the head
+// first.
+func membersByRank(servers []ring.Server) []member {
+	sorted := slices.Clone(servers)
+	slices.SortStableFunc(sorted, func(a, b ring.Server) int { return cmp.Compare(a.Membership.Rank, b.Membership.Rank) })
+	out := make([]member, len(sorted))
+	for i, s := range sorted {
+		out[i] = member{s.ID, s.Incarnation}
+	}
+	return out
+}
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -18,6 +18,8 @@
 //   - Absent: a server without an entry in the registry; it may be dead or only
 //     disconnected from the store.
 //   - Inspection: a request to a server for its current state.
+//   - Stranded: a server that holds a model and is in no open replica, in a domain
+//     without an open replica of some model.
 //   - Dead: a server that refused a connection or did not answer repeated
 //     inspections.
 //   - Broken: a head that reports the loss of a member; it no longer uses the
@@ -29,7 +31,10 @@
 //   - A head is opened only after all members were seen ready under the
 //     replica's epoch.
 //   - A member is ordered into another replica only after the head of its
-//     current one left it, broke, restarted or died.
+//     current one left it, broke or restarted, or after the member itself has
+//     confirmed that it left.
+//   - Once there are requests, a replica is formed only of servers that have its
+//     model loaded or staged, and no more loads run at a time than at full speed.
 package composition
 
 import (
