platform stand-in: the etcd API's lease 0 is no lease

Cause: since leases hold their era, the stand-in of the etcd API took a write without a lease for one with an unknown lease 0.

--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -75,8 +75,12 @@
 	return &pb.ResponseHeader{Revision: int64(s.keys.revision)}
 }
 
-// lease returns the lease with the given ID of the etcd API, which names no eras.
+// lease returns the lease with the given ID of the etcd API, which names no eras. The
+// ID 0 is no lease.
 func (s *Server) lease(id int64) ring.Lease {
+	if id == 0 {
+		return ring.Lease{}
+	}
 	return ring.Lease{Number: id, Era: s.keys.Era().Number}
 }
 
