composition, fleet, stand-ins: one check of the model that a server loads

Found in reading the whole diff: whether a server loads a given model was written out in three places, and needsWeightLoad repeated holds; a slice of servers was called heads; two conditions of the fake store were twins. No change of behaviour: the same conditions, moved. Tests of composition, fleet, gateway, election, mirror and agent pass.

--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -106,7 +106,7 @@
 		return loadedJoinTime
 	case s.HasStaged(m.Name):
 		return m.StagedLoadTime
-	case state.loadingModel == m.Name && now.Before(state.loadingUntil):
+	case c.isLoadingModel(s, m.Name, now):
 		return min(state.loadingUntil.Sub(now)+m.StagedLoadTime, m.LoadTime)
 	}
 	return m.LoadTime
@@ -115,9 +115,7 @@
 // needsWeightLoad reports whether an order to join a replica of the model makes the
 // server load it from the weight store.
 func (c *Composer) needsWeightLoad(s ring.Server, m ring.ReplicaModel, now time.Time) bool {
-	state := c.server(s.ID)
-	isLoading := state.loadingModel == m.Name && now.Before(state.loadingUntil)
-	return state.loadedModel != m.Name && !s.HasStaged(m.Name) && !isLoading
+	return !c.holds(s, m.Name) && !c.isLoadingModel(s, m.Name, now)
 }
 
 // formReplicas forms replicas from free servers, the best plan first, until no
@@ -211,7 +209,7 @@
 		}
 		holders := 0
 		for _, s := range free {
-			if c.holds(s, other.Name) || (c.isLoading(s, now) && c.server(s.ID).loadingModel == other.Name) {
+			if c.holds(s, other.Name) || c.isLoadingModel(s, other.Name, now) {
 				holders++
 			}
 		}
--- a/internal/composition/standby.go
+++ b/internal/composition/standby.go
@@ -192,7 +192,7 @@
 			continue
 		}
 		for _, m := range c.view.Service.Models {
-			if c.holds(s, m.Name) || (c.isLoading(s, now) && c.server(s.ID).loadingModel == m.Name) {
+			if c.holds(s, m.Name) || c.isLoadingModel(s, m.Name, now) {
 				out[domainModel{s.Domain, m.Name}]++
 			}
 		}
@@ -218,6 +218,11 @@
 	return state.loadingModel != "" && now.Before(state.loadingUntil)
 }
 
+// isLoadingModel reports whether the server's running load is of the model.
+func (c *Composer) isLoadingModel(s ring.Server, m ring.Model, now time.Time) bool {
+	return c.isLoading(s, now) && c.server(s.ID).loadingModel == m
+}
+
 // idleLoadSlots returns how many more loads can run at full speed. Before the first
 // request to the service loads are fast, and all servers may load at once. A server
 // that joins and holds no model is loading by an order of an earlier controller.
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -180,11 +180,12 @@
 		return nil, errors.Join(ring.ErrOutcomeUnknown, errStoreDown)
 	}
 	results, err := s.keys.CommitEach(ctx, txns)
-	if err == nil && fault != platform.FaultResponseLost {
-		s.observeEra()
-	}
-	if err == nil && fault == platform.FaultResponseLost {
+	switch {
+	case err != nil:
+	case fault == platform.FaultResponseLost:
 		return nil, errors.Join(ring.ErrOutcomeUnknown, errStoreDown)
+	default:
+		s.observeEra()
 	}
 	return results, err
 }
--- a/internal/fleet/notices.go
+++ b/internal/fleet/notices.go
@@ -127,13 +127,13 @@
 func (f *Fleet) ServersPausedUntil(service ring.Service, now time.Time) (time.Time, bool) {
 	f.mu.RLock()
 	defer f.mu.RUnlock()
-	var heads []ring.Server
+	var servers []ring.Server
 	for _, s := range f.servers {
 		if s.Service == service && !s.Leaving {
-			heads = append(heads, s)
+			servers = append(servers, s)
 		}
 	}
-	return f.allPausedUntil(heads, now)
+	return f.allPausedUntil(servers, now)
 }
 
 // ReplicasPausedUntil returns when the first head of a model's replicas ends its pause.
