agent, composition: the load of a controller, why servers wait, how long a model was missing

Now 411 counts them by reason, 413 gives the waits every 2 s, and a replica that forms says how long its domain lacked the model.

No decision changes.

--- a/internal/agent/controller.go
+++ b/internal/agent/controller.go
@@ -75,6 +75,7 @@
 		case <-ctx.Done():
 			return
 		case e := <-ct.events:
+			ct.load.addQueueWait(time.Since(e.queuedAt))
 			ct.performActions(ctx, e.service, ct.composerFor(e.service).Step(e.composerEvent, time.Now()))
 			if len(ct.events) == 0 && mayDecide() {
 				ct.stepComposers(ctx)
@@ -124,6 +125,7 @@
 type serviceEvent struct {
 	service       ring.Service
 	composerEvent composition.Event
+	queuedAt      time.Time
 }
 
 // controllerTerm runs the composers of all services during one term of the node as the
@@ -143,6 +145,7 @@
 	callSlots    chan struct{}
 	mu           sync.Mutex
 	pendingCalls map[serverCall]*pendingCall
+	load         controllerLoad
 }
 
 // pendingCall is a call that is queued or running and whose result is not queued yet.
@@ -164,7 +167,7 @@
 	if ct.pendingCalls[c] != nil {
 		return
 	}
-	pending := &pendingCall{c}
+	pending, queuedAt := &pendingCall{c}, time.Now()
 	ct.pendingCalls[c] = pending
 	go func() {
 		defer func() {
@@ -178,6 +181,7 @@
 		case <-ctx.Done():
 		case ct.callSlots <- struct{}{}:
 			defer func() { <-ct.callSlots }()
+			ct.load.addCall(time.Since(queuedAt))
 			run()
 		}
 	}()
@@ -213,6 +217,7 @@
 		}
 		ct.performActions(ctx, service.Name, ct.composerFor(service.Name).Step(composition.ViewUpdated{View: view}, now))
 	}
+	ct.load.addStep(time.Since(now))
 	ct.agent.setAbandoned(ct.abandonedReplicas())
 }
 
@@ -282,12 +287,13 @@
 		case composition.Inventory:
 			for _, d := range action.Counts {
 				ct.agent.log.Write(event.DomainSummary, slog.String("domain", string(d.Domain)), slog.Any("open", d.Open),
-					slog.Any("forming", d.Forming), slog.Any("spares", d.Spares), slog.Int("loading", d.Loading), slog.Int("stranded", d.Stranded))
+					slog.Any("forming", d.Forming), slog.Any("spares", d.Spares), slog.Int("loading", d.Loading), slog.Int("stranded", d.Stranded), slog.Any("waiting", d.Waiting))
 			}
+			ct.load.write(ct.agent.log)
 		case composition.Decision:
 			ct.agent.log.Write(event.ReplicaChanged, slog.String("group", string(action.Group)), slog.Uint64("epoch", uint64(action.Epoch)),
 				slog.String("model", string(action.Model)), slog.String("what", action.What), slog.String("vm", string(action.VM)),
-				slog.Duration("took", action.Took))
+				slog.Duration("took", action.Took), slog.Duration("missing", action.Missing))
 		}
 	}
 }
@@ -310,7 +316,7 @@
 		ct.endCall(serverCall{id: e.ID})
 	}
 	select {
-	case ct.events <- serviceEvent{service, e}:
+	case ct.events <- serviceEvent{service, e, time.Now()}:
 	default: // The queue is full; the composer repeats the call later.
 	}
 }
@@ -334,6 +340,7 @@
 	case err != nil:
 		kind, outcome = event.OrderFailed, composition.OutcomeUnknown
 	}
+	ct.load.addResult(ctx, err)
 	ct.agent.log.Write(kind, slog.String("order", string(action.Order.Kind)), slog.String("vm", string(action.ID)), slog.String("group", string(action.Order.Group)),
 		slog.Uint64("epoch", uint64(action.Order.Epoch)), slog.Bool("begun", hasBegun), slog.Bool("conditional", action.Order.HasExpected), slog.Int64("expected", action.Order.Expected), slog.Any("error", err))
 	ct.queueComposerEvent(service, composition.OrderEnded{ID: action.ID, Order: action.Order, Outcome: outcome, HasBegun: hasBegun})
@@ -354,6 +361,7 @@
 	if err == nil && action.WithHealth && !leaving {
 		leaving = ct.isLeaving(ctx, service, action)
 	}
+	ct.load.addResult(ctx, err)
 	if leaving {
 		ct.agent.recordLeaving(action.ID, s.Incarnation)
 	}
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -152,6 +152,9 @@
 	// Took is the time since the replica was formed or adopted or its release
 	// began. For a replica that is about to form it is the expected join time.
 	Took time.Duration
+	// Missing is how long the domain has had no replica of the model when one is formed
+	// there.
+	Missing time.Duration
 }
 
 // DomainCount counts the replicas and spares of one fabric domain by model. Forming
@@ -166,8 +169,31 @@
 	Spares   map[ring.Model]int
 	Loading  int
 	Stranded int
+	// Waiting counts the stranded servers by the reason why they serve nobody.
+	Waiting map[WaitReason]int
 }
 
+// WaitReason says why a server that holds a model is in no open replica.
+type WaitReason string
+
+// The reasons.
+const (
+	// WaitForming: its replica is joining or opening.
+	WaitForming WaitReason = "forming"
+	// WaitReleasing: its replica is being released.
+	WaitReleasing WaitReason = "releasing"
+	// WaitLeaving: it has not confirmed that it is outside of a replica whose head may be
+	// open.
+	WaitLeaving WaitReason = "leaving"
+	// WaitUnlisted: a head that is not listed may still use it.
+	WaitUnlisted WaitReason = "unlisted head"
+	// WaitDomain: other servers of its domain are about to be free.
+	WaitDomain WaitReason = "domain in transition"
+	// WaitServers: too few free servers of its domain hold the same model, or they are
+	// kept for another one.
+	WaitServers WaitReason = "too few servers"
+)
+
 // Inventory reports how many replicas and spares each domain has, for the log.
 type Inventory struct{ Counts []DomainCount }
 
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -286,10 +286,18 @@
 		c.recordWeightLoad(s, p.model, now)
 	}
 	c.replicas[r.epoch] = r
-	c.addDecision(Decision{Group: r.group, Epoch: r.epoch, Model: p.model.Name, What: "forming", Took: p.readyAfter})
+	c.addDecision(Decision{Group: r.group, Epoch: r.epoch, Model: p.model.Name, What: "forming", Took: p.readyAfter, Missing: c.missingFor(p, now)})
 	c.advanceForming(r, now)
 }
 
+// missingFor returns how long the domain of the plan has had no replica of its model.
+func (c *Composer) missingFor(p *replicaPlan, now time.Time) time.Duration {
+	if since, isMissing := c.missingSince[domainModel{p.domain, p.model.Name}]; isMissing {
+		return now.Sub(since)
+	}
+	return 0
+}
+
 // recordWeightLoad records that an order makes the server load the model from the
 // weight store, and takes a token for the load. It does nothing if no such load is
 // needed.
--- a/internal/composition/inventory.go
+++ b/internal/composition/inventory.go
@@ -44,7 +44,7 @@
 			}
 		}
 	}
-	c.countStranded(counts)
+	c.countStranded(counts, now)
 	var out Inventory
 	for _, d := range counts {
 		out.Counts = append(out.Counts, *d)
@@ -53,24 +53,48 @@
 	c.actions = append(c.actions, out)
 }
 
-// countStranded sets DomainCount.Stranded of the given domains.
-func (c *Composer) countStranded(counts map[ring.Domain]*DomainCount) {
-	isServing := map[ring.VM]bool{}
+// countStranded sets DomainCount.Stranded and DomainCount.Waiting of the given domains.
+func (c *Composer) countStranded(counts map[ring.Domain]*DomainCount, now time.Time) {
+	replicas := map[ring.VM]*replica{}
 	for _, r := range c.replicas {
 		for _, m := range r.members {
-			isServing[m.id] = r.phase == phaseOpen
+			replicas[m.id] = r
 		}
 	}
+	inTransition := c.domainsInTransition(now)
 	for _, s := range c.view.Servers {
-		d := counts[s.Domain]
-		if d == nil || isServing[s.ID] || s.Leaving || c.server(s.ID).dead || c.holdsNothing(s) {
+		d, r := counts[s.Domain], replicas[s.ID]
+		isServing := r != nil && r.phase == phaseOpen
+		if d == nil || isServing || s.Leaving || c.server(s.ID).dead || c.holdsNothing(s) {
 			continue
 		}
 		for _, m := range c.view.Service.Models {
 			if d.Open[m.Name] == 0 {
 				d.Stranded++
+				if d.Waiting == nil {
+					d.Waiting = map[WaitReason]int{}
+				}
+				d.Waiting[c.waitReason(s, r, inTransition[s.Domain], now)]++
 				break
 			}
 		}
 	}
 }
+
+// waitReason returns why a server, which is in replica r or in none, is in no open
+// replica.
+func (c *Composer) waitReason(s ring.Server, r *replica, inTransition bool, now time.Time) WaitReason {
+	switch {
+	case r != nil && r.phase == phaseReleasing:
+		return WaitReleasing
+	case r != nil:
+		return WaitForming
+	case c.mustLeaveFirst(s):
+		return WaitLeaving
+	case c.server(s.ID).isInUse(now):
+		return WaitUnlisted
+	case inTransition:
+		return WaitDomain
+	}
+	return WaitServers
+}
--- a/internal/composition/stranded_test.go
+++ b/internal/composition/stranded_test.go
@@ -170,7 +170,7 @@
 	sim.run(c, 8*time.Second)
 	sim.hasTraffic = true
 	sim.run(c, time.Second)
-	if got := reportedStranded(sim, c); got != 0 {
+	if got, _ := reportedStranded(sim, c); got != 0 {
 		t.Errorf("%d servers are stranded, want none while both models have a replica", got)
 	}
 	for range 4 { // Five servers are left, too few for a replica of each model.
@@ -182,25 +182,56 @@
 	for _, m := range sim.service.Models {
 		serving += sim.countOpen(m.Name) * m.Size
 	}
-	if got := reportedStranded(sim, c); got != live-serving {
+	got, waiting := reportedStranded(sim, c)
+	if got != live-serving {
 		t.Errorf("%d servers are stranded, want %d", got, live-serving)
 	}
+	if waiting[WaitServers] != got {
+		t.Errorf("reasons of %d stranded servers: %v, want all %q", got, waiting, WaitServers)
+	}
+}
+
+// TestInventoryTellsWhyServersWait checks the reasons that tell an operator whether
+// servers wait for their former head, for their replica or for other servers.
+func TestInventoryTellsWhyServersWait(t *testing.T) {
+	sim := newSmallReplicaSimulation(1, 1)
+	c := New(Config{Options: DefaultOptions(), Term: 7})
+	sim.run(c, 8*time.Second)
+	sim.hasTraffic = true
+	sim.run(c, time.Second)
+	sim.killServer(sim.openHead("large", "d0").server.ID) // The others cannot leave a head that does not answer.
+	seen := map[WaitReason]bool{}
+	for range 120 { // The entry of the head expires after 3.6 s.
+		c.inventoryAt = time.Time{}
+		_, waiting := reportedStranded(sim, c)
+		for reason := range waiting {
+			seen[reason] = true
+		}
+	}
+	for _, reason := range []WaitReason{WaitLeaving, WaitForming} {
+		if !seen[reason] {
+			t.Errorf("no server waited for the reason %q; seen: %v", reason, seen)
+		}
+	}
 }
 
 // reportedStranded runs the simulation until the next inventory and returns the number
-// of stranded servers in it.
-func reportedStranded(sim *simulation, c *Composer) int {
+// of stranded servers in it, and their numbers by reason.
+func reportedStranded(sim *simulation, c *Composer) (int, map[WaitReason]int) {
 	for {
 		sim.advanceTick()
 		actions := c.Step(ViewUpdated{View: sim.view()}, sim.now)
 		sim.performActions(c, actions)
 		for _, a := range actions {
 			if inventory, ok := a.(Inventory); ok {
-				n := 0
+				n, waiting := 0, map[WaitReason]int{}
 				for _, d := range inventory.Counts {
 					n += d.Stranded
+					for reason, count := range d.Waiting {
+						waiting[reason] += count
+					}
 				}
-				return n
+				return n, waiting
 			}
 		}
 	}
