--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -187,6 +187,8 @@
 	cancels []context.CancelFunc
 	// failsFetches makes all fetches of configurations from peers fail while it is set.
 	failsFetches bool
+	// decisions counts the controllers' decisions.
+	decisions *decisionCounter
 }
 
 // testConfigFetcher is a ConfigFetcher that reads the configuration from the agent
@@ -208,7 +210,7 @@
 func runCluster(t *testing.T, nodes int, test func(is *is.I, tc *testCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		tc := &testCluster{keys: platform.NewKeyspace(), network: &testNetwork{transports: map[string]*testTransport{}, isolated: map[string]bool{}, bytes: map[string]int{}, messages: map[string]int{}}}
+		tc := &testCluster{keys: platform.NewKeyspace(), network: &testNetwork{transports: map[string]*testTransport{}, isolated: map[string]bool{}, bytes: map[string]int{}, messages: map[string]int{}}, decisions: &decisionCounter{counts: map[string]int{}}}
 		ctx, cancel := context.WithCancel(t.Context())
 		var wait sync.WaitGroup
 		wait.Go(func() { clock.Every(ctx, 50*time.Millisecond, func(context.Context) { tc.keys.ExpireLeases() }) })
@@ -241,7 +243,7 @@
 	store := fake.NewStore(tc.keys)
 	a := New(Config{
 		Name: name, Incarnation: "1", PeerAddress: name, Transport: transport, Store: store, Directory: testDirectory{}, Control: testControl{}, ConfigFetcher: testConfigFetcher{tc},
-		Fleet: fleet.New(), Log: event.NewLog(slog.New(slog.DiscardHandler)), Timing: DefaultTiming(),
+		Fleet: fleet.New(), Log: event.NewLog(slog.New(tc.decisions)), Timing: DefaultTiming(),
 		Composition: composition.DefaultOptions(), Revocation: 5 * time.Second,
 	})
 	tc.agents, tc.stores = append(tc.agents, a), append(tc.stores, store)
--- /dev/null
+++ b/internal/agent/slow_test.go
@@ -0,0 +1,156 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
+	"eelgrassring.dev/internal/event"
+)
+
+// decisionCounter is a log handler that counts the controllers' decisions about replicas
+// and servers.
+type decisionCounter struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (d *decisionCounter) Enabled(_ context.Context, l slog.Level) bool { return l >= slog.LevelInfo }
+func (d *decisionCounter) WithAttrs([]slog.Attr) slog.Handler           { return d }
+func (d *decisionCounter) WithGroup(string) slog.Handler                { return d }
+
+func (d *decisionCounter) Handle(_ context.Context, r slog.Record) error {
+	if r.Message != event.ReplicaChanged.Name {
+		return nil
+	}
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Key == "what" {
+			d.mu.Lock()
+			d.counts[a.Value.String()]++
+			d.mu.Unlock()
+		}
+		return true
+	})
+	return nil
+}
+
+// count returns how often a decision was made.
+func (d *decisionCounter) count(what string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.counts[what]
+}
+
+// busyControl is a control interface of backend servers that answer at once, on a node
+// whose processor completes one call after the other and needs callTime for each.
+type busyControl struct {
+	testControl
+	callTime  time.Duration
+	processor chan struct{}
+	mu        sync.Mutex
+	// servers holds the state of each server by address; those that are missing never
+	// answer.
+	servers map[string]ring.Server
+}
+
+// waitForProcessor returns when the processor has completed the call, or with an error
+// when the context has ended before.
+func (c *busyControl) waitForProcessor(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case c.processor <- struct{}{}:
+	}
+	defer func() { <-c.processor }()
+	clock.Sleep(ctx, c.callTime)
+	return ctx.Err()
+}
+
+func (c *busyControl) Inspect(ctx context.Context, address string) (ring.Server, error) {
+	c.mu.Lock()
+	s, lives := c.servers[address]
+	c.mu.Unlock()
+	if !lives {
+		<-ctx.Done()
+		return ring.Server{}, ctx.Err()
+	}
+	return s, c.waitForProcessor(ctx)
+}
+
+func (c *busyControl) Order(ctx context.Context, address string, o ring.ReplicaOrder, _ func() bool) (bool, error) {
+	if err := c.waitForProcessor(ctx); err != nil {
+		return false, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s, lives := c.servers[address]
+	if !lives {
+		return false, context.DeadlineExceeded
+	}
+	s.Orders++
+	if o.Kind == ring.OrderLeave {
+		s.Membership = ring.Membership{}
+	}
+	c.servers[address] = s
+	return true, nil
+}
+
+// putBusyServers registers servers of an earlier controller's replica whose head is gone,
+// so that a new controller asks each of them for its state.
+func (tc *testCluster) putBusyServers(is *is.I, control *busyControl, n int) {
+	for i := range n {
+		id := fmt.Sprintf("h%03d", i)
+		s := ring.Server{
+			ID: ring.VM(id), Address: id, Service: "s", Domain: ring.Domain(fmt.Sprint("d", i/16)), Staged: []ring.Model{"m"},
+			Membership: ring.Membership{Group: ring.Group(fmt.Sprint("g", i/16)), Epoch: ring.Epoch(1 + i/16), Rank: i % 16, State: ring.MemberReady},
+		}
+		control.servers[id] = s
+		tc.putServer(s)
+	}
+	value, err := json.Marshal(ring.Routing{Number: 1, Services: []ring.RoutedService{{Name: "s", Models: []ring.ReplicaModel{{Name: "m", Size: 16, LoadTime: time.Minute}}}}})
+	is.NoErr(err)
+	tc.writeKey("routing", value)
+}
+
+// TestSlowControllerTakesNoLiveServerForDead guards against a controller on a slow
+// processor that counts its own slowness against the servers: calls that it could not
+// complete in time made live servers count as dead, which broke replicas and caused more
+// calls.
+func TestSlowControllerTakesNoLiveServerForDead(t *testing.T) {
+	runCluster(t, 1, func(is *is.I, tc *testCluster) {
+		control := &busyControl{callTime: 10 * time.Millisecond, processor: make(chan struct{}, 1), servers: map[string]ring.Server{}}
+		tc.agents[0].config.Control = control
+		tc.putBusyServers(is, control, 400)
+		time.Sleep(20 * time.Second)
+		if n := tc.decisions.count("server considered dead"); n != 0 {
+			t.Errorf("%d live servers were considered dead", n)
+		}
+	})
+}
+
+// TestSlowControllerFindsDeadServers checks that the tolerance for the controller's own
+// slowness does not hide servers that are dead.
+func TestSlowControllerFindsDeadServers(t *testing.T) {
+	runCluster(t, 1, func(is *is.I, tc *testCluster) {
+		control := &busyControl{callTime: 10 * time.Millisecond, processor: make(chan struct{}, 1), servers: map[string]ring.Server{}}
+		tc.agents[0].config.Control = control
+		tc.putBusyServers(is, control, 400)
+		control.mu.Lock()
+		for i := range 10 {
+			delete(control.servers, fmt.Sprintf("h%03d", 40*i))
+		}
+		control.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		if n := tc.decisions.count("server considered dead"); n != 10 {
+			t.Errorf("%d servers were considered dead, want the 10 that are", n)
+		}
+	})
+}
