--- a/internal/composition/adopt.go
+++ b/internal/composition/adopt.go
@@ -67,7 +67,7 @@
 		r.phase, r.isGraceful, r.deadline = phaseReleasing, true, now.Add(c.options.CloseTimeout)
 	}
 	delete(c.ended, epoch)
-	c.replicas[epoch] = r
+	c.addReplica(r)
 	c.addDecision(Decision{Group: r.group, Epoch: epoch, Model: model.Name, What: "adopted as " + string(r.phase)})
 }
 
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -1,7 +1,9 @@
 package composition
 
 import (
-	"sort"
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -40,12 +42,20 @@
 	// epoch is the largest epoch that this composer has used or seen.
 	epoch ring.Epoch
 	view  View
-	// listed holds the registry entries of the view by server.
-	listed map[ring.VM]ring.Server
+	// viewNumber counts the views. listed holds the listed servers in the order of the
+	// view, and byDomain by fabric domain, of which domains is the sorted list.
+	viewNumber int
+	listed     []*serverState
+	byDomain   map[ring.Domain][]*serverState
+	domains    []ring.Domain
 	// listedChangedAt is when the set of listed servers last changed.
 	listedChangedAt time.Time
 	// replicas holds the replicas from their forming or adoption to their end.
 	replicas map[ring.Epoch]*replica
+	// replicaCounts counts the replicas by domain and model, and inUseCounts those that
+	// are not being released by model.
+	replicaCounts map[domainModel]int
+	inUseCounts   map[ring.Model]int
 	// ended holds the replicas that ended or never opened; registry entries of
 	// their members may still name them.
 	ended map[ring.Epoch]replicaEnd
@@ -68,7 +78,7 @@
 func New(c Config) *Composer {
 	return &Composer{
 		options: c.Options, isFirst: true, termEpoch: firstEpoch(c.Term), epoch: firstEpoch(c.Term),
-		listed: map[ring.VM]ring.Server{}, replicas: map[ring.Epoch]*replica{}, ended: map[ring.Epoch]replicaEnd{}, incomplete: map[ring.Epoch]time.Time{}, missingSince: map[domainModel]time.Time{}, servers: map[ring.VM]*serverState{},
+		replicas: map[ring.Epoch]*replica{}, replicaCounts: map[domainModel]int{}, inUseCounts: map[ring.Model]int{}, ended: map[ring.Epoch]replicaEnd{}, incomplete: map[ring.Epoch]time.Time{}, missingSince: map[domainModel]time.Time{}, servers: map[ring.VM]*serverState{},
 	}
 }
 
@@ -102,22 +112,24 @@
 // serverState of each listed server.
 func (c *Composer) updateView(v View, now time.Time) {
 	c.view = v
-	before := c.listed
-	c.listed = make(map[ring.VM]ring.Server, len(v.Servers))
-	if len(before) != len(v.Servers) {
+	c.viewNumber++
+	if len(c.listed) != len(v.Servers) {
 		c.listedChangedAt = now
 	}
+	c.listed, c.byDomain = c.listed[:0], map[ring.Domain][]*serverState{}
 	for _, s := range v.Servers {
-		if _, known := before[s.ID]; !known {
+		state := c.server(s.ID)
+		if state.listedIn != c.viewNumber-1 {
 			c.listedChangedAt = now
-			c.server(s.ID).dead = false // A newly listed server counts as alive until it fails to answer.
+			state.dead = false // A newly listed server counts as alive until it fails to answer.
 		}
-		c.listed[s.ID] = s
-		state := c.server(s.ID)
 		if state.incarnation != s.Incarnation {
 			// Orders to the earlier process may be executed by this one.
-			*state = serverState{incarnation: s.Incarnation, unsettled: state.unsettled}
+			*state = serverState{incarnation: s.Incarnation, unsettled: state.unsettled, replicas: state.replicas}
 		}
+		state.listedIn = c.viewNumber
+		c.listed = append(c.listed, state)
+		c.byDomain[s.Domain] = append(c.byDomain[s.Domain], state)
 		if s.Membership.Group != "" && s.Membership.Epoch <= c.termEpoch {
 			c.isFirst = false
 		}
@@ -131,6 +143,7 @@
 		}
 		c.epoch = max(c.epoch, s.Membership.Epoch)
 	}
+	c.domains = slices.Sorted(maps.Keys(c.byDomain))
 }
 
 // recordInspection updates a server's state by the result of an inspection, and
@@ -235,8 +248,7 @@
 	}
 	c.orderFormerMembersToLeave(now)
 	c.updateMissing(now)
-	c.formReplicas(now)
-	c.assignStandbys(now)
+	c.assignStandbys(c.formReplicas(now), now)
 	c.reportInventory(now)
 }
 
@@ -244,22 +256,16 @@
 // every ReinspectInterval. They may only have been unreachable, or may have
 // recovered.
 func (c *Composer) reinspectDeadAndSlow(now time.Time) {
-	for _, s := range c.view.Servers {
-		state := c.server(s.ID)
+	for _, state := range c.listed {
 		if (state.dead || state.slow) && now.After(state.inspectedAt.Add(c.options.ReinspectInterval)) {
-			c.addInspection(s.ID, now)
+			c.addInspection(state.entry.ID, now)
 		}
 	}
 }
 
 // replicasByEpoch returns the replicas sorted by epoch.
 func (c *Composer) replicasByEpoch() []*replica {
-	out := make([]*replica, 0, len(c.replicas))
-	for _, r := range c.replicas {
-		out = append(out, r)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i].epoch < out[j].epoch })
-	return out
+	return slices.SortedFunc(maps.Values(c.replicas), func(a, b *replica) int { return cmp.Compare(a.epoch, b.epoch) })
 }
 
 // addDecision adds a decision, which the caller of Step logs, to the actions that the
@@ -328,8 +334,22 @@
 
 // isListed reports whether the server has a registry entry in the current view.
 func (c *Composer) isListed(id ring.VM) bool {
-	_, listed := c.listed[id]
-	return listed
+	state, known := c.servers[id]
+	return known && c.isInView(state)
+}
+
+// isInView reports whether the server has a registry entry in the current view.
+func (c *Composer) isInView(s *serverState) bool {
+	return c.viewNumber > 0 && s.listedIn == c.viewNumber
+}
+
+// entryOf returns the server's registry entry in the current view, or false if it has
+// none.
+func (c *Composer) entryOf(id ring.VM) (ring.Server, bool) {
+	if state, known := c.servers[id]; known && c.isInView(state) {
+		return state.entry, true
+	}
+	return ring.Server{}, false
 }
 
 // isActiveHead reports whether the server is the head of an active replica, one whose
@@ -357,14 +377,39 @@
 // replicaOf returns the replica that the server is a member of, or nil. There is at
 // most one, as replicas are formed from free servers only.
 func (c *Composer) replicaOf(id ring.VM) *replica {
-	for _, r := range c.replicas {
-		if r.hasMember(id) {
-			return r
-		}
+	if state, known := c.servers[id]; known && len(state.replicas) > 0 {
+		return state.replicas[0]
 	}
 	return nil
 }
 
+// addReplica begins to track a replica.
+func (c *Composer) addReplica(r *replica) {
+	c.replicas[r.epoch] = r
+	r.domain = c.server(r.head().id).entry.Domain
+	c.replicaCounts[domainModel{r.domain, r.model.Name}]++
+	if r.phase != phaseReleasing {
+		c.inUseCounts[r.model.Name]++
+	}
+	for _, m := range r.members {
+		s := c.server(m.id)
+		s.replicas = append(s.replicas, r)
+	}
+}
+
+// removeReplica ends the tracking of a replica.
+func (c *Composer) removeReplica(r *replica) {
+	delete(c.replicas, r.epoch)
+	c.replicaCounts[domainModel{r.domain, r.model.Name}]--
+	if r.phase != phaseReleasing {
+		c.inUseCounts[r.model.Name]--
+	}
+	for _, m := range r.members {
+		s := c.server(m.id)
+		s.replicas = slices.DeleteFunc(s.replicas, func(other *replica) bool { return other == r })
+	}
+}
+
 // modelByName returns the service's declared model with the name, or false if there
 // is none.
 func (c *Composer) modelByName(name ring.Model) (ring.ReplicaModel, bool) {
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -1,7 +1,8 @@
 package composition
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"strconv"
 	"time"
 
@@ -54,67 +55,71 @@
 // freeServers returns, by fabric domain, the listed servers that can be assigned to a
 // replica. These are in no replica, neither leaving nor dead, and not possibly still
 // in use by the head of an earlier replica.
-func (c *Composer) freeServers(now time.Time) map[ring.Domain][]ring.Server {
-	assigned := c.assignedServers()
-	out := map[ring.Domain][]ring.Server{}
-	for _, s := range c.view.Servers {
-		if assigned[s.ID] || s.Leaving || c.server(s.ID).dead || c.mustLeaveFirst(s) || c.server(s.ID).isInUse(now) {
-			continue
+func (c *Composer) freeServers(now time.Time) map[ring.Domain][]*serverState {
+	out := map[ring.Domain][]*serverState{}
+	for _, domain := range c.domains {
+		if free := c.freeServersIn(domain, now); len(free) > 0 {
+			out[domain] = free
 		}
-		out[s.Domain] = append(out[s.Domain], s)
 	}
 	return out
 }
 
-// assignedServers returns the members of all replicas.
-func (c *Composer) assignedServers() map[ring.VM]bool {
-	out := map[ring.VM]bool{}
-	for _, r := range c.replicas {
-		for _, m := range r.members {
-			out[m.id] = true
+// freeServersIn returns the free servers of one fabric domain, as freeServers does.
+func (c *Composer) freeServersIn(domain ring.Domain, now time.Time) []*serverState {
+	var out []*serverState
+	for _, s := range c.byDomain[domain] {
+		if len(s.replicas) > 0 || s.entry.Leaving || s.dead || c.mustLeaveFirst(s) || s.isInUse(now) {
+			continue
 		}
+		out = append(out, s)
 	}
 	return out
 }
 
 // joinTime estimates the time from an order to join a new replica of the model until
 // the server is ready in it, including the time to load the model.
-func (c *Composer) joinTime(s ring.Server, m ring.ReplicaModel, now time.Time) time.Duration {
-	state := c.server(s.ID)
+func (c *Composer) joinTime(s *serverState, m ring.ReplicaModel, now time.Time) time.Duration {
 	switch {
-	case state.loadedModel == m.Name:
+	case s.loadedModel == m.Name:
 		return loadedJoinTime
-	case s.HasStaged(m.Name):
+	case s.entry.HasStaged(m.Name):
 		return m.StagedLoadTime
-	case c.isLoadingModel(s, m.Name, now):
-		return min(state.loadingUntil.Sub(now)+m.StagedLoadTime, m.LoadTime)
+	case s.isLoadingModel(m.Name, now):
+		return min(s.loadingUntil.Sub(now)+m.StagedLoadTime, m.LoadTime)
 	}
 	return m.LoadTime
 }
 
 // needsWeightLoad reports whether an order to join a replica of the model makes the
 // server load it from the weight store.
-func (c *Composer) needsWeightLoad(s ring.Server, m ring.ReplicaModel, now time.Time) bool {
-	return !c.holds(s, m.Name) && !c.isLoadingModel(s, m.Name, now)
+func (c *Composer) needsWeightLoad(s *serverState, m ring.ReplicaModel, now time.Time) bool {
+	return !s.holds(m.Name) && !s.isLoadingModel(m.Name, now)
 }
 
 // formReplicas forms replicas from free servers, the best plan first, until no
-// further replica can be formed now.
-func (c *Composer) formReplicas(now time.Time) {
-	inTransition := c.domainsInTransition(now)
-	free := c.freeServersOutside(inTransition, now)
+// further replica can be formed now. It returns the servers that are still free, without
+// those of the domains in transition.
+func (c *Composer) formReplicas(now time.Time) map[ring.Domain][]*serverState {
+	free := c.freeServersOutside(c.domainsInTransition(now), now)
+	plans := map[ring.Domain][]*replicaPlan{}
+	for domain := range free {
+		plans[domain] = c.planReplicas(domain, free[domain], now)
+	}
 	for {
-		best := c.choosePlan(free, now)
+		best := c.choosePlan(plans, free, now)
 		if best == nil {
-			return
+			return free
 		}
 		c.formReplica(best, now)
-		free = c.freeServersOutside(inTransition, now)
+		// A new replica changes what can be formed in its own domain only.
+		free[best.domain] = c.freeServersIn(best.domain, now)
+		plans[best.domain] = c.planReplicas(best.domain, free[best.domain], now)
 	}
 }
 
 // freeServersOutside returns the free servers of the domains that are not in transition.
-func (c *Composer) freeServersOutside(inTransition map[ring.Domain]bool, now time.Time) map[ring.Domain][]ring.Server {
+func (c *Composer) freeServersOutside(inTransition map[ring.Domain]bool, now time.Time) map[ring.Domain][]*serverState {
 	free := c.freeServers(now)
 	for domain := range inTransition {
 		delete(free, domain)
@@ -123,75 +128,85 @@
 }
 
 // replicaPlan describes a replica that could be formed from free servers. readyAfter is
-// the time until all members are ready, and need the result of needForReplica.
+// the time until all members are ready, and candidates the number of free servers from
+// which the members were chosen.
 type replicaPlan struct {
 	model      ring.ReplicaModel
 	domain     ring.Domain
-	members    []ring.Server
+	members    []*serverState
+	candidates int
 	readyAfter time.Duration
-	need       float64
 }
 
-// choosePlan returns the best plan for a replica of any model in any domain, or nil if
-// none can be formed now.
-func (c *Composer) choosePlan(free map[ring.Domain][]ring.Server, now time.Time) *replicaPlan {
+// choosePlan returns the best of the plans that may be carried out now, or nil if there
+// is none. A plan is preferred if its model is needed more, or is needed equally and its
+// members are ready earlier.
+func (c *Composer) choosePlan(plans map[ring.Domain][]*replicaPlan, free map[ring.Domain][]*serverState, now time.Time) *replicaPlan {
 	var best *replicaPlan
-	for _, domain := range sortedDomains(free) {
-		for _, m := range c.view.Service.Models {
-			if p := c.planReplica(m, domain, free[domain], now); p != nil && (best == nil || p.isBetterThan(best)) {
-				best = p
+	bestNeed := 0.0
+	for _, domain := range c.domains {
+		for _, p := range plans[domain] {
+			need := c.needForReplica(p.model)
+			isBetter := best == nil || need > bestNeed || (need == bestNeed && p.readyAfter < best.readyAfter)
+			if isBetter && !c.mustKeepServers(p, free[domain], now) {
+				best, bestNeed = p, need
 			}
 		}
 	}
 	return best
 }
 
-// isBetterThan reports whether p is preferred to other: its model is needed more, or
-// is needed equally and its members are ready earlier.
-func (p *replicaPlan) isBetterThan(other *replicaPlan) bool {
-	if p.need != other.need {
-		return p.need > other.need
+// planReplicas returns a plan for each model of which a replica could be formed from
+// the free servers of the domain.
+func (c *Composer) planReplicas(domain ring.Domain, free []*serverState, now time.Time) []*replicaPlan {
+	var out []*replicaPlan
+	for _, m := range c.view.Service.Models {
+		if p := c.planReplica(m, domain, free, now); p != nil {
+			out = append(out, p)
+		}
 	}
-	return p.readyAfter < other.readyAfter
+	return out
 }
 
 // planReplica plans a replica of model m from the free servers of the domain that
 // would be ready first. Once there are requests, only servers that hold the model are
 // taken: while one server loads it, the others can serve in another replica. It returns
-// nil if there are too few servers, or if the servers must be kept as spares or for a
-// model that is needed more.
-func (c *Composer) planReplica(m ring.ReplicaModel, domain ring.Domain, free []ring.Server, now time.Time) *replicaPlan {
-	sorted := make([]ring.Server, 0, len(free))
+// nil if there are too few servers.
+func (c *Composer) planReplica(m ring.ReplicaModel, domain ring.Domain, free []*serverState, now time.Time) *replicaPlan {
+	sorted := make([]*serverState, 0, len(free))
 	for _, s := range free {
-		if !c.view.HasTraffic || c.holds(s, m.Name) {
+		if !c.view.HasTraffic || s.holds(m.Name) {
 			sorted = append(sorted, s)
 		}
 	}
 	if len(sorted) < m.Size {
 		return nil
 	}
-	hasReplica := c.replicaCount(m.Name, domain) > 0
-	if hasReplica && (len(sorted) < m.Size+c.options.MinSpares || c.lacksMoreNeededModel(m, domain, free, now)) {
-		return nil
-	}
-	sort.SliceStable(sorted, func(i, j int) bool {
-		a, b := sorted[i], sorted[j]
-		if slowA, slowB := c.server(a.ID).slow, c.server(b.ID).slow; slowA != slowB {
-			return slowB // Slow servers come last, as all members wait for the slowest.
-		}
-		return c.joinTime(a, m, now) < c.joinTime(b, m, now)
+	slices.SortStableFunc(sorted, func(a, b *serverState) int {
+		// Slow servers come last, as all members wait for the slowest.
+		return cmp.Or(compareBool(a.slow, b.slow), cmp.Compare(c.joinTime(a, m, now), c.joinTime(b, m, now)))
 	})
-	p := &replicaPlan{model: m, domain: domain, members: sorted[:m.Size], need: c.needForReplica(m)}
+	p := &replicaPlan{model: m, domain: domain, members: sorted[:m.Size], candidates: len(sorted)}
 	for _, s := range p.members {
 		p.readyAfter = max(p.readyAfter, c.joinTime(s, m, now))
 	}
 	return p
 }
 
+// mustKeepServers reports whether the plan would form a second replica of its model in
+// the domain although the servers must be kept as spares or for a model that is needed
+// more.
+func (c *Composer) mustKeepServers(p *replicaPlan, free []*serverState, now time.Time) bool {
+	if c.replicaCount(p.model.Name, p.domain) == 0 {
+		return false
+	}
+	return p.candidates < p.model.Size+c.options.MinSpares || c.lacksMoreNeededModel(p.model, p.domain, free, now)
+}
+
 // lacksMoreNeededModel reports whether the domain lacks a replica of some model that
 // is needed more than m, and either has lacked it for less than ReserveTime or will
 // have enough free servers for it when their present loads have ended.
-func (c *Composer) lacksMoreNeededModel(m ring.ReplicaModel, domain ring.Domain, free []ring.Server, now time.Time) bool {
+func (c *Composer) lacksMoreNeededModel(m ring.ReplicaModel, domain ring.Domain, free []*serverState, now time.Time) bool {
 	for _, other := range c.view.Service.Models {
 		since, isMissing := c.missingSince[domainModel{domain, other.Name}]
 		if !isMissing || c.needForReplica(other) <= c.needForReplica(m) {
@@ -199,7 +214,7 @@
 		}
 		holders := 0
 		for _, s := range free {
-			if c.holds(s, other.Name) || c.isLoadingModel(s, other.Name, now) {
+			if s.holds(other.Name) || s.isLoadingModel(other.Name, now) {
 				holders++
 			}
 		}
@@ -219,11 +234,7 @@
 // updateMissing updates missingSince, which records since when each domain has had
 // no replica of each model.
 func (c *Composer) updateMissing(now time.Time) {
-	domains := map[ring.Domain]bool{}
-	for _, s := range c.view.Servers {
-		domains[s.Domain] = true
-	}
-	for d := range domains {
+	for _, d := range c.domains {
 		for _, m := range c.view.Service.Models {
 			key := domainModel{d, m.Name}
 			if c.replicaCount(m.Name, d) > 0 {
@@ -237,13 +248,7 @@
 
 // replicaCount returns the number of replicas of the model in the domain.
 func (c *Composer) replicaCount(m ring.Model, domain ring.Domain) int {
-	n := 0
-	for _, r := range c.replicas {
-		if r.model.Name == m && c.server(r.head().id).entry.Domain == domain {
-			n++
-		}
-	}
-	return n
+	return c.replicaCounts[domainModel{domain, m}]
 }
 
 // needForReplica returns the priority of forming one more replica of the model, which
@@ -252,17 +257,11 @@
 // divided by the replica size, so that the shares set how many replicas each model
 // gets. Afterwards the model with the larger share goes first.
 func (c *Composer) needForReplica(m ring.ReplicaModel) float64 {
-	n := 0
-	for _, r := range c.replicas {
-		if r.model.Name == m.Name && r.phase != phaseReleasing {
-			n++
-		}
-	}
 	weight := shareOf(m)
 	if !c.view.HasTraffic {
 		weight /= float64(max(m.Size, 1))
 	}
-	return weight / float64(n+1)
+	return weight / float64(c.inUseCounts[m.Name]+1)
 }
 
 // shareOf returns the model's declared share of the work, or 1 if none is declared.
@@ -282,10 +281,10 @@
 		phase: phaseForming, startedAt: now, deadline: now.Add(p.readyAfter*2 + c.options.JoinSlack),
 	}
 	for _, s := range p.members {
-		r.members = append(r.members, member{s.ID, s.Incarnation})
+		r.members = append(r.members, member{s.entry.ID, s.entry.Incarnation})
 		c.recordWeightLoad(s, p.model, now)
 	}
-	c.replicas[r.epoch] = r
+	c.addReplica(r)
 	c.addDecision(Decision{Group: r.group, Epoch: r.epoch, Model: p.model.Name, What: "forming", Took: p.readyAfter, Missing: c.missingFor(p, now)})
 	c.advanceForming(r, now)
 }
@@ -301,22 +300,11 @@
 // recordWeightLoad records that an order makes the server load the model from the
 // weight store, and takes a token for the load. It does nothing if no such load is
 // needed.
-func (c *Composer) recordWeightLoad(s ring.Server, m ring.ReplicaModel, now time.Time) {
+func (c *Composer) recordWeightLoad(s *serverState, m ring.ReplicaModel, now time.Time) {
 	if !c.needsWeightLoad(s, m, now) {
 		return
 	}
-	state := c.server(s.ID)
-	state.loadingModel = m.Name
-	state.loadingUntil = now.Add(m.LoadTime)
+	s.loadingModel = m.Name
+	s.loadingUntil = now.Add(m.LoadTime)
 	c.weightLoadBucket.tokens--
 }
-
-// sortedDomains returns the domains that have free servers, in a fixed order.
-func sortedDomains(free map[ring.Domain][]ring.Server) []ring.Domain {
-	out := make([]ring.Domain, 0, len(free))
-	for d := range free {
-		out = append(out, d)
-	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
-}
--- a/internal/composition/inventory.go
+++ b/internal/composition/inventory.go
@@ -28,7 +28,7 @@
 		return counts[d]
 	}
 	for _, r := range c.replicas {
-		d := count(c.server(r.head().id).entry.Domain)
+		d := count(r.domain)
 		if r.phase == phaseOpen {
 			d.Open[r.model.Name]++
 		} else {
@@ -37,8 +37,8 @@
 	}
 	for domain, servers := range free {
 		for _, s := range servers {
-			if s.Membership.State == ring.MemberReady {
-				count(domain).Spares[s.Model]++
+			if s.entry.Membership.State == ring.MemberReady {
+				count(domain).Spares[s.entry.Model]++
 			} else {
 				count(domain).Loading++
 			}
@@ -55,17 +55,11 @@
 
 // countStranded sets DomainCount.Stranded and DomainCount.Waiting of the given domains.
 func (c *Composer) countStranded(counts map[ring.Domain]*DomainCount, now time.Time) {
-	replicas := map[ring.VM]*replica{}
-	for _, r := range c.replicas {
-		for _, m := range r.members {
-			replicas[m.id] = r
-		}
-	}
 	inTransition := c.domainsInTransition(now)
-	for _, s := range c.view.Servers {
-		d, r := counts[s.Domain], replicas[s.ID]
+	for _, s := range c.listed {
+		d, r := counts[s.entry.Domain], c.replicaOf(s.entry.ID)
 		isServing := r != nil && r.phase == phaseOpen
-		if d == nil || isServing || s.Leaving || c.server(s.ID).dead || c.holdsNothing(s) {
+		if d == nil || isServing || s.entry.Leaving || s.dead || s.holdsNothing() {
 			continue
 		}
 		for _, m := range c.view.Service.Models {
@@ -74,7 +68,7 @@
 				if d.Waiting == nil {
 					d.Waiting = map[WaitReason]int{}
 				}
-				d.Waiting[c.waitReason(s, r, inTransition[s.Domain], now)]++
+				d.Waiting[c.waitReason(s, r, inTransition[s.entry.Domain], now)]++
 				break
 			}
 		}
@@ -83,7 +77,7 @@
 
 // waitReason returns why a server, which is in replica r or in none, is in no open
 // replica.
-func (c *Composer) waitReason(s ring.Server, r *replica, inTransition bool, now time.Time) WaitReason {
+func (c *Composer) waitReason(s *serverState, r *replica, inTransition bool, now time.Time) WaitReason {
 	switch {
 	case r != nil && r.phase == phaseReleasing:
 		return WaitReleasing
@@ -91,7 +85,7 @@
 		return WaitForming
 	case c.mustLeaveFirst(s):
 		return WaitLeaving
-	case c.server(s.ID).isInUse(now):
+	case s.isInUse(now):
 		return WaitUnlisted
 	case inTransition:
 		return WaitDomain
--- a/internal/composition/leave.go
+++ b/internal/composition/leave.go
@@ -38,8 +38,7 @@
 // mustLeaveFirst reports whether the server may be in a replica whose head may be open,
 // because no inspection has shown it outside of one. The server may join another
 // replica only after it has left that one, because the head would go on to use it.
-func (c *Composer) mustLeaveFirst(s ring.Server) bool {
-	state := c.server(s.ID)
+func (c *Composer) mustLeaveFirst(state *serverState) bool {
 	seen := state.seenMembership
 	isOutside := state.hasSeen && (seen.Epoch == 0 || seen.IsStandby() || c.ended[seen.Epoch] == endHeadDone)
 	return c.mayRejoin(state) && !isOutside
@@ -48,14 +47,12 @@
 // orderFormerMembersToLeave orders the servers that must leave an ended replica to do
 // so, except those that would not receive the order or are about to stop.
 func (c *Composer) orderFormerMembersToLeave(now time.Time) {
-	assigned := c.assignedServers()
-	for _, s := range c.view.Servers {
-		state := c.server(s.ID)
-		if !assigned[s.ID] && !s.Leaving && !state.dead && !state.isInUse(now) && c.mustLeaveFirst(s) {
+	for _, state := range c.listed {
+		if len(state.replicas) == 0 && !state.entry.Leaving && !state.dead && !state.isInUse(now) && c.mustLeaveFirst(state) {
 			if state.plansWaitUntil.IsZero() || state.plansWaitEpoch != state.lastEpoch {
 				state.plansWaitUntil, state.plansWaitEpoch = now.Add(c.options.LeaveTimeout), state.lastEpoch
 			}
-			c.orderToLeave(s.ID, now)
+			c.orderToLeave(state.entry.ID, now)
 		}
 	}
 }
@@ -81,7 +78,7 @@
 func (c *Composer) recordLeft(id ring.VM, epoch ring.Epoch, now time.Time) {
 	s := c.server(id)
 	s.leftEpoch = epoch
-	if c.mayHeadBeOpen(epoch) && c.mustLeaveFirst(s.entry) {
+	if c.mayHeadBeOpen(epoch) && c.mustLeaveFirst(s) {
 		c.addNextInspection(id, now)
 	}
 }
@@ -90,10 +87,9 @@
 // for the servers that are free already would leave the others without a replica.
 func (c *Composer) domainsInTransition(now time.Time) map[ring.Domain]bool {
 	out := map[ring.Domain]bool{}
-	for _, s := range c.view.Servers {
-		state := c.server(s.ID)
-		if now.Before(state.plansWaitUntil) && state.plansWaitEpoch == state.lastEpoch && !s.Leaving && !state.dead && c.mustLeaveFirst(s) {
-			out[s.Domain] = true
+	for _, state := range c.listed {
+		if now.Before(state.plansWaitUntil) && state.plansWaitEpoch == state.lastEpoch && !state.entry.Leaving && !state.dead && c.mustLeaveFirst(state) {
+			out[state.entry.Domain] = true
 		}
 	}
 	return out
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -52,7 +52,9 @@
 	epoch   ring.Epoch
 	model   ring.ReplicaModel
 	members []member
-	phase   phase
+	// domain is the fabric domain of the head.
+	domain ring.Domain
+	phase  phase
 	// startedAt is when the replica was formed or adopted, or its release began.
 	startedAt time.Time
 	// deadline has two meanings by phase. A forming replica is dropped at this time;
@@ -76,16 +78,6 @@
 // head returns the member with rank 0, which takes the replica's requests.
 func (r *replica) head() member { return r.members[0] }
 
-// hasMember reports whether the server is a member of the replica.
-func (r *replica) hasMember(id ring.VM) bool {
-	for _, m := range r.members {
-		if m.id == id {
-			return true
-		}
-	}
-	return false
-}
-
 // memberIDs returns the servers of the members by rank, in the form that an order to
 // join contains.
 func (r *replica) memberIDs() []ring.VM {
@@ -116,7 +108,7 @@
 // last inspections.
 func (c *Composer) memberStatus(r *replica, m member) memberStatus {
 	state := c.server(m.id)
-	s, listed := c.listed[m.id]
+	s, listed := &state.entry, c.isInView(state)
 	switch {
 	case state.dead:
 		return statusLost
@@ -154,7 +146,7 @@
 // replicas, after they have left this one if its head may still be open; vm is the
 // server that caused the end, if any.
 func (c *Composer) drop(r *replica, reason string, vm ring.VM, now time.Time) {
-	delete(c.replicas, r.epoch)
+	c.removeReplica(r)
 	delete(c.incomplete, r.epoch)
 	c.ended[r.epoch] = c.endOf(r)
 	c.addDecision(Decision{Group: r.group, Epoch: r.epoch, Model: r.model.Name, What: reason, VM: vm, Took: now.Sub(r.startedAt)})
@@ -163,7 +155,7 @@
 // endOf returns what is known about the head of a replica that ends now.
 func (c *Composer) endOf(r *replica) replicaEnd {
 	head := r.head()
-	entry, listed := c.listed[head.id]
+	entry, listed := c.entryOf(head.id)
 	hasNeverOpened := r.phase == phaseForming
 	if hasNeverOpened || c.server(head.id).lastEpoch > r.epoch {
 		return endHeadDone
@@ -192,11 +184,11 @@
 	for _, m := range r.members {
 		switch c.memberStatus(r, m) {
 		case statusGood:
-			if c.listed[m.id].Membership.State == ring.MemberReady {
+			if c.server(m.id).entry.Membership.State == ring.MemberReady {
 				ready++
 			}
 		case statusAway:
-			if c.mustLeaveFirst(c.listed[m.id]) {
+			if c.mustLeaveFirst(c.server(m.id)) {
 				c.orderToLeave(m.id, now)
 			} else {
 				c.addJoinOrder(r, m, now)
@@ -228,7 +220,7 @@
 		return
 	}
 	head := r.head()
-	if c.listed[head.id].Membership.State == ring.MemberOpen {
+	if entry, _ := c.entryOf(head.id); entry.Membership.State == ring.MemberOpen {
 		c.addDecision(Decision{Group: r.group, Epoch: r.epoch, Model: r.model.Name, What: "open", Took: now.Sub(r.startedAt)})
 		r.phase = phaseOpen
 		return
@@ -258,7 +250,7 @@
 	if c.view.Slow[r.epoch] > 0 && c.releaseIfSlow(r, now) {
 		return
 	}
-	if head, listed := c.listed[r.head().id]; listed && head.Membership.Epoch == r.epoch && head.Membership.State == ring.MemberReady {
+	if head, listed := c.entryOf(r.head().id); listed && head.Membership.Epoch == r.epoch && head.Membership.State == ring.MemberReady {
 		// The head was closed without an order of this composer; open it again.
 		r.phase = phaseOpening
 	}
@@ -279,8 +271,8 @@
 	if slow == "" {
 		return false
 	}
-	for _, s := range c.freeServers(now)[c.server(r.head().id).entry.Domain] {
-		if !c.server(s.ID).slow && c.joinTime(s, r.model, now) <= r.model.StagedLoadTime {
+	for _, s := range c.freeServersIn(r.domain, now) {
+		if !s.slow && c.joinTime(s, r.model, now) <= r.model.StagedLoadTime {
 			c.release(r, false, "member slow", slow, now)
 			return true
 		}
@@ -303,7 +295,7 @@
 		c.release(r, true, "head not listed or leaving", head.id, now)
 		return true
 	}
-	if c.listed[head.id].Membership.State == ring.MemberBroken {
+	if entry, _ := c.entryOf(head.id); entry.Membership.State == ring.MemberBroken {
 		c.drop(r, "broken", "", now)
 		return true
 	}
@@ -327,6 +319,9 @@
 // caused the release, if any.
 func (c *Composer) release(r *replica, isGraceful bool, reason string, vm ring.VM, now time.Time) {
 	c.addDecision(Decision{Group: r.group, Epoch: r.epoch, Model: r.model.Name, What: reason, VM: vm, Took: now.Sub(r.startedAt)})
+	if r.phase != phaseReleasing {
+		c.inUseCounts[r.model.Name]--
+	}
 	r.phase, r.isGraceful, r.startedAt, r.deadline = phaseReleasing, isGraceful, now, now.Add(c.options.CloseTimeout)
 	c.advanceReleasing(r, now)
 }
@@ -335,7 +330,7 @@
 // head has left it, is broken or is lost.
 func (c *Composer) advanceReleasing(r *replica, now time.Time) {
 	head := r.head()
-	entry, listed := c.listed[head.id]
+	entry, listed := c.entryOf(head.id)
 	state := entry.Membership.State
 	if r.isGraceful && now.After(r.startedAt) && state == ring.MemberReady {
 		// The head has finished its requests. It must leave too, because a late order
--- a/internal/composition/server.go
+++ b/internal/composition/server.go
@@ -10,8 +10,13 @@
 // serverState is the composer's state of one server.
 type serverState struct {
 	incarnation string
-	// entry is the server's most recent registry entry.
-	entry ring.Server
+	// entry is the server's most recent registry entry, and listedIn the number of the
+	// last view that contained it.
+	entry    ring.Server
+	listedIn int
+	// replicas are the replicas of which the server is a member, at most one unless
+	// registry entries contradict each other.
+	replicas []*replica
 	// misses counts the consecutive unanswered inspections. inspectedAt is when the
 	// last inspection began, and isInspecting is set until it ends.
 	misses       int
@@ -65,6 +70,24 @@
 // isInUse reports whether a head that is not listed may still use the server.
 func (s *serverState) isInUse(now time.Time) bool { return now.Before(s.inUseUntil) }
 
+// holds reports whether the server can join a replica of the model without the weight
+// store: it has loaded or staged the model.
+func (s *serverState) holds(m ring.Model) bool { return s.loadedModel == m || s.entry.HasStaged(m) }
+
+// holdsNothing reports whether the server has neither loaded nor staged any model.
+func (s *serverState) holdsNothing() bool { return s.loadedModel == "" && len(s.entry.Staged) == 0 }
+
+// isLoading reports whether a load of a model from the weight store runs at the
+// server, by an order of this composer.
+func (s *serverState) isLoading(now time.Time) bool {
+	return s.loadingModel != "" && now.Before(s.loadingUntil)
+}
+
+// isLoadingModel reports whether the server's running load is of the model.
+func (s *serverState) isLoadingModel(m ring.Model, now time.Time) bool {
+	return s.isLoading(now) && s.loadingModel == m
+}
+
 // recordReport updates the state by the server's response to an inspection. A report may
 // lag and is outdated if it counts fewer orders than are known.
 func (s *serverState) recordReport(report ring.Server) {
--- a/internal/composition/standby.go
+++ b/internal/composition/standby.go
@@ -11,12 +11,12 @@
 
 // assignStandbys prepares servers to join a replica of any model quickly. Spares
 // (servers without a replica) become standbys of a model that they hold. Servers that
-// hold no model, or not all models that their host has room for, load one.
-func (c *Composer) assignStandbys(now time.Time) {
-	free := c.freeServersOutside(c.domainsInTransition(now), now)
-	for _, domain := range sortedDomains(free) {
+// hold no model, or not all models that their host has room for, load one. free are the
+// spares outside of the domains in transition.
+func (c *Composer) assignStandbys(free map[ring.Domain][]*serverState, now time.Time) {
+	for _, domain := range c.domains {
 		for _, s := range free[domain] {
-			if !s.Membership.IsStandby() && c.isIdle(s, now) {
+			if !s.entry.Membership.IsStandby() && c.isIdle(s, now) {
 				c.assignStandby(s, now)
 			}
 		}
@@ -26,17 +26,16 @@
 
 // isIdle reports whether the spare's last order to join was long enough ago that it
 // must have failed.
-func (c *Composer) isIdle(s ring.Server, now time.Time) bool {
-	state := c.server(s.ID)
-	return state.lastOrderKind != ring.OrderJoin || !now.Before(state.lastOrderAt.Add(c.options.OrderRetry*4))
+func (c *Composer) isIdle(s *serverState, now time.Time) bool {
+	return s.lastOrderKind != ring.OrderJoin || !now.Before(s.lastOrderAt.Add(c.options.OrderRetry*4))
 }
 
 // assignStandby makes a spare a standby of a model that it holds, the one that it
 // joins fastest. It does nothing if the spare holds none.
-func (c *Composer) assignStandby(s ring.Server, now time.Time) {
+func (c *Composer) assignStandby(s *serverState, now time.Time) {
 	var best *ring.ReplicaModel
 	for _, m := range c.view.Service.Models {
-		if c.holds(s, m.Name) && (best == nil || c.joinTime(s, m, now) < c.joinTime(s, *best, now)) {
+		if s.holds(m.Name) && (best == nil || c.joinTime(s, m, now) < c.joinTime(s, *best, now)) {
 			best = &m
 		}
 	}
@@ -47,16 +46,16 @@
 
 // addStandbyOrder orders a spare to become a standby of the model, which loads the
 // model if the spare does not hold it.
-func (c *Composer) addStandbyOrder(s ring.Server, m ring.ReplicaModel, now time.Time) {
+func (c *Composer) addStandbyOrder(s *serverState, m ring.ReplicaModel, now time.Time) {
 	c.epoch++
 	group := ring.StandbyGroup(strconv.FormatUint(uint64(c.epoch), 36))
-	c.addOrder(s.ID, ring.ReplicaOrder{Kind: ring.OrderJoin, Group: group, Epoch: c.epoch, Model: m.Name, Members: []ring.VM{s.ID}}, now)
+	c.addOrder(s.entry.ID, ring.ReplicaOrder{Kind: ring.OrderJoin, Group: group, Epoch: c.epoch, Model: m.Name, Members: []ring.VM{s.entry.ID}}, now)
 }
 
 // weightLoad is a possible load from the weight store: of a model that a server does
 // not hold.
 type weightLoad struct {
-	server ring.Server
+	server *serverState
 	model  ring.ReplicaModel
 	// isFirst is set if the server holds no model, so that it is of no use yet.
 	isFirst bool
@@ -74,7 +73,7 @@
 		-compareBool(a.lacking > 0, b.lacking > 0),
 		cmp.Compare(a.lacking, b.lacking),
 		cmp.Compare(a.model.LoadTime, b.model.LoadTime),
-		cmp.Compare(a.server.ID, b.server.ID),
+		cmp.Compare(a.server.entry.ID, b.server.entry.ID),
 	)
 }
 
@@ -94,7 +93,7 @@
 // standby; all other servers stage the model in their host's memory, which does not
 // disturb what they run. Members of running replicas stage models too: after a loss,
 // the remaining members can then form a replica of any model that still fits.
-func (c *Composer) loadModels(free map[ring.Domain][]ring.Server, now time.Time) {
+func (c *Composer) loadModels(free map[ring.Domain][]*serverState, now time.Time) {
 	loads := c.usefulLoads(free, now)
 	slices.SortFunc(loads, compareWeightLoads)
 	available, idleSlots := c.availableWeightLoads(now), c.idleLoadSlots(now)
@@ -113,7 +112,7 @@
 		if l.isFirst {
 			c.addStandbyOrder(l.server, l.model, now)
 		} else {
-			c.addOrder(l.server.ID, ring.ReplicaOrder{Kind: ring.OrderStage, Model: l.model.Name}, now)
+			c.addOrder(l.server.entry.ID, ring.ReplicaOrder{Kind: ring.OrderStage, Model: l.model.Name}, now)
 		}
 	}
 }
@@ -122,39 +121,35 @@
 // whose host has room for a model that the server has not loaded. Members of replicas
 // that are not open yet, and spares whose standby is not ready, are left out unless
 // they hold no model.
-func (c *Composer) usefulLoads(free map[ring.Domain][]ring.Server, now time.Time) []weightLoad {
+func (c *Composer) usefulLoads(free map[ring.Domain][]*serverState, now time.Time) []weightLoad {
 	holders := c.countHolders(now)
-	settled := map[ring.VM]bool{}
-	for _, r := range c.replicas {
-		for _, m := range r.members {
-			settled[m.id] = r.phase == phaseOpen
-		}
-	}
+	settledSpares := map[*serverState]bool{}
 	var out []weightLoad
-	add := func(s ring.Server, isFirst bool) {
+	add := func(s *serverState, isFirst bool) {
 		m, ok := c.chooseModelToLoad(s, holders)
 		if !ok {
 			return
 		}
 		l := weightLoad{server: s, model: m, isFirst: isFirst}
-		key := domainModel{s.Domain, m.Name}
-		if c.replicaCount(m.Name, s.Domain) == 0 {
+		key := domainModel{s.entry.Domain, m.Name}
+		if c.replicaCount(m.Name, s.entry.Domain) == 0 {
 			l.lacking = max(m.Size-holders[key], 1)
 		}
 		holders[key]++
 		out = append(out, l)
 	}
-	for _, domain := range sortedDomains(free) {
+	for _, domain := range c.domains {
 		for _, s := range free[domain] {
-			isFirst := c.holdsNothing(s)
-			settled[s.ID] = !isFirst && s.Membership.IsStandby() && s.Membership.State == ring.MemberReady
-			if isFirst && !s.Membership.IsStandby() && c.isIdle(s, now) && !c.isLoading(s, now) {
+			isFirst, membership := s.holdsNothing(), s.entry.Membership
+			settledSpares[s] = !isFirst && membership.IsStandby() && membership.State == ring.MemberReady
+			if isFirst && !membership.IsStandby() && c.isIdle(s, now) && !s.isLoading(now) {
 				add(s, true)
 			}
 		}
 	}
-	for _, s := range c.view.Servers {
-		if settled[s.ID] && !s.Leaving && !c.server(s.ID).dead && !c.isLoading(s, now) {
+	for _, s := range c.listed {
+		isSettled := settledSpares[s] || (len(s.replicas) > 0 && s.replicas[0].phase == phaseOpen)
+		if isSettled && !s.entry.Leaving && !s.dead && !s.isLoading(now) {
 			add(s, false)
 		}
 	}
@@ -165,18 +160,17 @@
 // holders relative to the model's share, among those that the server does not hold.
 // It returns false if there is none, or if the host has no room: it keeps one staged
 // model, which is of use unless that model is also the loaded one.
-func (c *Composer) chooseModelToLoad(s ring.Server, holders map[domainModel]int) (ring.ReplicaModel, bool) {
+func (c *Composer) chooseModelToLoad(s *serverState, holders map[domainModel]int) (ring.ReplicaModel, bool) {
 	var best ring.ReplicaModel
 	bestCount := -1.0
-	loaded := c.server(s.ID).loadedModel
 	for _, m := range c.view.Service.Models {
-		if m.Name == loaded {
+		if m.Name == s.loadedModel {
 			continue
 		}
-		if s.HasStaged(m.Name) {
+		if s.entry.HasStaged(m.Name) {
 			return ring.ReplicaModel{}, false
 		}
-		if count := float64(holders[domainModel{s.Domain, m.Name}]) / shareOf(m); bestCount < 0 || count < bestCount {
+		if count := float64(holders[domainModel{s.entry.Domain, m.Name}]) / shareOf(m); bestCount < 0 || count < bestCount {
 			best, bestCount = m, count
 		}
 	}
@@ -187,52 +181,30 @@
 // loading it.
 func (c *Composer) countHolders(now time.Time) map[domainModel]int {
 	out := map[domainModel]int{}
-	for _, s := range c.view.Servers {
-		if s.Leaving || c.server(s.ID).dead {
-			continue
-		}
+	for _, domain := range c.domains {
 		for _, m := range c.view.Service.Models {
-			if c.holds(s, m.Name) || c.isLoadingModel(s, m.Name, now) {
-				out[domainModel{s.Domain, m.Name}]++
+			n := 0
+			for _, s := range c.byDomain[domain] {
+				if !s.entry.Leaving && !s.dead && (s.holds(m.Name) || s.isLoadingModel(m.Name, now)) {
+					n++
+				}
 			}
+			out[domainModel{domain, m.Name}] = n
 		}
 	}
 	return out
 }
 
-// holds reports whether the server can join a replica of the model without the weight
-// store: it has loaded or staged the model.
-func (c *Composer) holds(s ring.Server, m ring.Model) bool {
-	return c.server(s.ID).loadedModel == m || s.HasStaged(m)
-}
-
-// holdsNothing reports whether the server has neither loaded nor staged any model.
-func (c *Composer) holdsNothing(s ring.Server) bool {
-	return c.server(s.ID).loadedModel == "" && len(s.Staged) == 0
-}
-
-// isLoading reports whether a load of a model from the weight store runs at the
-// server, by an order of this composer.
-func (c *Composer) isLoading(s ring.Server, now time.Time) bool {
-	state := c.server(s.ID)
-	return state.loadingModel != "" && now.Before(state.loadingUntil)
-}
-
-// isLoadingModel reports whether the server's running load is of the model.
-func (c *Composer) isLoadingModel(s ring.Server, m ring.Model, now time.Time) bool {
-	return c.isLoading(s, now) && c.server(s.ID).loadingModel == m
-}
-
 // idleLoadSlots returns how many more loads can run at full speed. Before the first
 // request to the service loads are fast, and all servers may load at once. A server
 // that joins and holds no model is loading by an order of an earlier controller.
 func (c *Composer) idleLoadSlots(now time.Time) int {
 	if !c.view.HasTraffic || c.view.Service.LoadsAtOnce == 0 {
-		return len(c.view.Servers)
+		return len(c.listed)
 	}
 	n := c.view.Service.LoadsAtOnce
-	for _, s := range c.view.Servers {
-		if c.isLoading(s, now) || (s.Membership.State == ring.MemberJoining && c.holdsNothing(s)) {
+	for _, s := range c.listed {
+		if s.isLoading(now) || (s.entry.Membership.State == ring.MemberJoining && s.holdsNothing()) {
 			n--
 		}
 	}
