fleet, composition: decisions share the list of servers

A step of the controller copied and sorted all servers of the fleet, and the composer copied them twice more, also when nothing had changed. Now the fleet keeps the list until a server changes, the composer refers to it, and skips a view that it has seen.

--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -102,7 +102,7 @@
 func (c *Composer) server(id ring.VM) *serverState {
 	s, ok := c.servers[id]
 	if !ok {
-		s = &serverState{}
+		s = &serverState{entry: &ring.Server{}}
 		c.servers[id] = s
 	}
 	return s
@@ -111,13 +111,18 @@
 // updateView replaces the view of the service's servers and replicas, and updates the
 // serverState of each listed server.
 func (c *Composer) updateView(v View, now time.Time) {
+	hasChanged := !isSameSlice(c.view.Servers, v.Servers)
 	c.view = v
+	if !hasChanged {
+		return
+	}
 	c.viewNumber++
 	if len(c.listed) != len(v.Servers) {
 		c.listedChangedAt = now
 	}
 	c.listed, c.byDomain = c.listed[:0], map[ring.Domain][]*serverState{}
-	for _, s := range v.Servers {
+	for i := range v.Servers {
+		s := &v.Servers[i]
 		state := c.server(s.ID)
 		if state.listedIn != c.viewNumber-1 {
 			c.listedChangedAt = now
@@ -125,7 +130,7 @@
 		}
 		if state.incarnation != s.Incarnation {
 			// Orders to the earlier process may be executed by this one.
-			*state = serverState{incarnation: s.Incarnation, unsettled: state.unsettled, replicas: state.replicas}
+			*state = serverState{incarnation: s.Incarnation, entry: s, unsettled: state.unsettled, replicas: state.replicas}
 		}
 		state.listedIn = c.viewNumber
 		c.listed = append(c.listed, state)
@@ -146,6 +151,12 @@
 	c.domains = slices.Sorted(maps.Keys(c.byDomain))
 }
 
+// isSameSlice reports whether two slices have the same elements in memory. Servers of a
+// view never change.
+func isSameSlice(a, b []ring.Server) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // recordInspection updates a server's state by the result of an inspection, and
 // decides whether the server counts as dead. The head of an active replica does not
 // count as dead when an inspection is unanswered.
@@ -347,7 +358,7 @@
 // none.
 func (c *Composer) entryOf(id ring.VM) (ring.Server, bool) {
 	if state, known := c.servers[id]; known && c.isInView(state) {
-		return state.entry, true
+		return *state.entry, true
 	}
 	return ring.Server{}, false
 }
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -54,7 +54,8 @@
 // View is the state of a service's servers and replicas as known to the controller,
 // which is the node that runs the composer.
 type View struct {
-	// Servers are the listed servers of the service, sorted by ID.
+	// Servers are the listed servers of the service, sorted by ID. They must not change
+	// after the view was passed to a composer.
 	Servers []ring.Server
 	Service ring.RoutedService
 	// Stalled maps a replica to how long none of its streams has had an event at any
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -108,7 +108,7 @@
 // last inspections.
 func (c *Composer) memberStatus(r *replica, m member) memberStatus {
 	state := c.server(m.id)
-	s, listed := &state.entry, c.isInView(state)
+	s, listed := state.entry, c.isInView(state)
 	switch {
 	case state.dead:
 		return statusLost
--- a/internal/composition/server.go
+++ b/internal/composition/server.go
@@ -12,7 +12,7 @@
 	incarnation string
 	// entry is the server's most recent registry entry, and listedIn the number of the
 	// last view that contained it.
-	entry    ring.Server
+	entry    *ring.Server
 	listedIn int
 	// replicas are the replicas of which the server is a member, at most one unless
 	// registry entries contradict each other.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -21,6 +21,7 @@
 package fleet
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -59,8 +60,12 @@
 	// changed since.
 	replicas      []Replica
 	replicasStale bool
-	streams       map[ring.Group]*streamState
-	peers         map[string]peerState
+	// serverLists holds the results of Servers since servers have last changed, and
+	// sortedIDs the IDs of all servers.
+	serverLists map[ring.Service][]ring.Server
+	sortedIDs   []ring.VM
+	streams     map[ring.Group]*streamState
+	peers       map[string]peerState
 	// prefillUntil is the estimated time at which each replica has prefilled the
 	// prompts that this node and its peers have sent to it.
 	prefillUntil map[ring.Epoch]time.Time
@@ -95,6 +100,7 @@
 func New() *Fleet {
 	return &Fleet{
 		servers:         map[ring.VM]ring.Server{},
+		serverLists:     map[ring.Service][]ring.Server{},
 		revisions:       map[ring.VM]ring.Revision{},
 		leavingByNotice: map[ring.VM]bool{},
 		streams:         map[ring.Group]*streamState{},
@@ -133,6 +139,9 @@
 		return false
 	}
 	f.revisions[s.ID] = revision
+	if i, known := slices.BinarySearch(f.sortedIDs, s.ID); !known {
+		f.sortedIDs = slices.Insert(f.sortedIDs, i, s.ID)
+	}
 	f.servers[s.ID] = f.withNotice(s)
 	f.markReplicasStale()
 	return true
@@ -171,12 +180,16 @@
 func (f *Fleet) drop(id ring.VM) {
 	delete(f.servers, id)
 	delete(f.leavingByNotice, id)
+	if i, known := slices.BinarySearch(f.sortedIDs, id); known {
+		f.sortedIDs = slices.Delete(f.sortedIDs, i, i+1)
+	}
 }
 
 // markReplicasStale records that a server's entry has changed, so that the replicas
 // are derived again before their next use; mu is held.
 func (f *Fleet) markReplicasStale() {
 	f.replicasStale = true
+	clear(f.serverLists)
 	f.notifyWaiters()
 }
 
@@ -242,17 +255,24 @@
 	}
 }
 
-// Servers returns the servers of a service, sorted by ID.
+// Servers returns the servers of a service, sorted by ID. The caller must not change the
+// result.
 func (f *Fleet) Servers(service ring.Service) []ring.Server {
 	f.mu.RLock()
-	defer f.mu.RUnlock()
-	var out []ring.Server
-	for _, s := range f.servers {
-		if s.Service == service {
+	list, isCurrent := f.serverLists[service]
+	f.mu.RUnlock()
+	if isCurrent {
+		return list
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]ring.Server, 0, len(f.sortedIDs))
+	for _, id := range f.sortedIDs {
+		if s := f.servers[id]; s.Service == service {
 			out = append(out, s)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
+	f.serverLists[service] = out
 	return out
 }
 
