agent: a controller decides at most every 10 ms, and rests after long decisions

The controller decided anew after each result of an order or inspection as soon as its queue was empty.

Now results are applied as they come, and decided upon together: at most every 10 ms, and after a pause of three times the duration of the last decision, so that decisions take a quarter of the time at most.

A result waits up to 10 ms more; a repair is a chain of about five.

--- a/internal/agent/controller.go
+++ b/internal/agent/controller.go
@@ -27,6 +27,11 @@
 	// replicas at the same time completed none of them in time and considered the
 	// servers dead.
 	maxConcurrentCalls = 32
+	// minStepPause is the shortest pause between two decision steps. A step that took
+	// longer is followed by a pause of stepPauseRatio times its duration, so that the
+	// calls to the servers get most of the node's processor time.
+	minStepPause   = 10 * time.Millisecond
+	stepPauseRatio = 3
 )
 
 // isLeaseLost reports whether a call to the store failed because the lease does
@@ -67,8 +72,14 @@
 		return time.Now().After(ordersFrom) || (isRegistryComplete && a.hasNoReplicas())
 	}
 	a.serversMirror.Refresh() // This node may have dropped entries that the previous root did not know.
-	ticker := time.NewTicker(a.config.Timing.DecisionInterval)
+	ticker, due := time.NewTicker(a.config.Timing.DecisionInterval), time.NewTimer(0)
 	defer ticker.Stop()
+	defer due.Stop()
+	step := func() {
+		if mayDecide() {
+			ct.stepComposers(ctx)
+		}
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -76,15 +87,17 @@
 		case e := <-ct.events:
 			ct.load.addQueueWait(time.Since(e.queuedAt))
 			ct.performActions(ctx, e.service, ct.composerFor(e.service).Step(e.composerEvent, time.Now()))
-			if len(ct.events) == 0 && mayDecide() {
-				ct.stepComposers(ctx)
+			if len(ct.events) == 0 {
+				due.Reset(time.Until(ct.nextStepAt))
 			}
+		case <-due.C:
+			step()
 		case <-ticker.C:
 			if a.IsDraining() {
 				return
 			}
-			if mayDecide() {
-				ct.stepComposers(ctx)
+			if !time.Now().Before(ct.nextStepAt) {
+				step()
 			}
 		}
 	}
@@ -139,6 +152,8 @@
 	events chan serviceEvent
 	// hasTraffic is set after the first request at any replica.
 	hasTraffic bool
+	// nextStepAt is the earliest time of the next decision step.
+	nextStepAt time.Time
 	// callSlots bounds the running orders and inspections. pendingCalls holds the
 	// queued and running calls, so that the same call is not started twice.
 	callSlots    chan struct{}
@@ -229,7 +244,9 @@
 		}
 		ct.performActions(ctx, service.Name, ct.composerFor(service.Name).Step(composition.ViewUpdated{View: view}, now))
 	}
-	ct.load.addStep(time.Since(now))
+	took := time.Since(now)
+	ct.load.addStep(took)
+	ct.nextStepAt = time.Now().Add(max(minStepPause, stepPauseRatio*took))
 	ct.agent.setAbandoned(ct.abandonedReplicas())
 }
 
--- a/internal/agent/slow_test.go
+++ b/internal/agent/slow_test.go
@@ -159,3 +159,18 @@
 		}
 	})
 }
+
+// TestManyResultsCauseFewDecisions guards against a controller that decides anew after
+// each result of an order or inspection: with hundreds of results a second the decisions
+// took most of its processor time, and the calls in progress timed out.
+func TestManyResultsCauseFewDecisions(t *testing.T) {
+	runCluster(t, 1, func(is *is.I, tc *testCluster) {
+		control := &busyControl{callTime: time.Millisecond, processor: make(chan struct{}, 1), servers: map[string]ring.Server{}}
+		tc.agents[0].config.Control = control
+		tc.putBusyServers(is, control, 400)
+		time.Sleep(10 * time.Second)
+		if steps, most := tc.decisions.maxSteps, 250; steps > most { // 100 a second, in 2 s and the rest of a tick
+			t.Errorf("%d decisions within 2 s, want at most %d", steps, most)
+		}
+	})
+}
