composition: replicas are traded for one that is needed more; less is kept in reserve

Callors of grade-summary and assay-check, which share the large model, got the least (SHORT). Fifteen members of a lost large replica waited for a sixteenth, which loads for 16 s, and were kept for 15 s from forming small ones, while small replicas of their domain hold the large model.

Now a domain that lacks a replica of a model that is needed more releases replicas of another model, if their servers complete it, no fewer servers serve afterwards than otherwise, and the need for the one is 1.5 times that for the others; never the last replica of a model. Servers are kept only for a replica that will soon be possible, or for a model without any replica in the service (15 s, as before).

Red before: TestLargeReplicaIsCompletedByTheServersOfASmallOne (2 of 3 large replicas, now 3, with and without a new controller) and TestServersTooFewForALargeReplicaFormSmallOnes (10 replicas of 84 live servers, now 11).

--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -262,7 +262,9 @@
 	}
 	c.orderFormerMembersToLeave(now)
 	c.updateMissing(now)
-	c.assignStandbys(c.formReplicas(now), now)
+	free := c.formReplicas(now)
+	c.tradeReplicas(free, now)
+	c.assignStandbys(free, now)
 	c.reportInventory(now)
 }
 
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -203,28 +203,43 @@
 	return p.candidates < p.model.Size+c.options.MinSpares || c.lacksMoreNeededModel(p.model, p.domain, free, now)
 }
 
-// lacksMoreNeededModel reports whether the domain lacks a replica of some model that
-// is needed more than m, and either has lacked it for less than ReserveTime or will
-// have enough free servers for it when their present loads have ended.
+// lacksMoreNeededModel reports whether the free servers of the domain must be kept for a
+// replica of some model that is needed more than m and that the domain lacks. They are
+// kept if there will soon be enough of them, also by a trade, or if the service has no
+// replica of that model at all and the domain has lacked it for less than ReserveTime.
 func (c *Composer) lacksMoreNeededModel(m ring.ReplicaModel, domain ring.Domain, free []*serverState, now time.Time) bool {
 	for _, other := range c.view.Service.Models {
 		since, isMissing := c.missingSince[domainModel{domain, other.Name}]
 		if !isMissing || c.needForReplica(other) <= c.needForReplica(m) {
 			continue
 		}
-		holders := 0
-		for _, s := range free {
-			if s.holds(other.Name) || s.isLoadingModel(other.Name, now) {
-				holders++
-			}
-		}
-		if holders >= other.Size || now.Before(since.Add(c.options.ReserveTime)) {
+		isReserved := c.inUseCounts[other.Name] == 0 && now.Before(since.Add(c.options.ReserveTime))
+		lacking := other.Size - c.holdersSoon(other.Name, domain, free, now)
+		if isReserved || lacking <= 0 || len(c.chooseTraded(other, domain, lacking)) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// holdersSoon counts the servers of the domain that hold the model and are free, or are
+// about to be: they end a load within LoadWait, or their replica is being released.
+func (c *Composer) holdersSoon(m ring.Model, domain ring.Domain, free []*serverState, now time.Time) int {
+	n := 0
+	for _, s := range free {
+		isAboutToHold := s.isLoadingModel(m, now) && s.loadingUntil.Before(now.Add(c.options.LoadWait))
+		if s.holds(m) || isAboutToHold {
+			n++
+		}
+	}
+	for _, s := range c.byDomain[domain] {
+		if len(s.replicas) > 0 && s.replicas[0].phase == phaseReleasing && s.isAvailable() && s.holds(m) {
+			n++
+		}
+	}
+	return n
+}
+
 // domainModel is the key of Composer.missingSince.
 type domainModel struct {
 	domain ring.Domain
--- a/internal/composition/options.go
+++ b/internal/composition/options.go
@@ -44,9 +44,12 @@
 	// member.
 	BreakTimeout time.Duration
 	// ReserveTime is how long free servers of a domain are kept for a model that has no
-	// replica there before they may form a second replica of a model that is needed
-	// less. In that time the missing servers may appear.
+	// replica in the service before they may form a second replica of a model that is
+	// needed less. In that time the missing servers may appear.
 	ReserveTime time.Duration
+	// LoadWait is how long the free servers of a domain wait for another one that loads
+	// the model of a missing replica.
+	LoadWait time.Duration
 	// MinSpares is how many spares must be left in a domain when a second replica of a
 	// model is formed there.
 	MinSpares int
@@ -69,6 +72,7 @@
 		EntryGrace:        2500 * time.Millisecond,
 		BreakTimeout:      6500 * time.Millisecond,
 		ReserveTime:       15 * time.Second,
+		LoadWait:          2 * time.Second,
 		MinSpares:         1,
 	}
 }
--- a/internal/composition/server.go
+++ b/internal/composition/server.go
@@ -70,6 +70,9 @@
 // isInUse reports whether a head that is not listed may still use the server.
 func (s *serverState) isInUse(now time.Time) bool { return now.Before(s.inUseUntil) }
 
+// isAvailable reports whether the server is neither dead nor about to stop.
+func (s *serverState) isAvailable() bool { return !s.dead && !s.entry.Leaving && !s.leaving }
+
 // holds reports whether the server can join a replica of the model without the weight
 // store: it has loaded or staged the model.
 func (s *serverState) holds(m ring.Model) bool { return s.loadedModel == m || s.entry.HasStaged(m) }
