agent: loads that were decided before the first request are not sent after it

Before the first request all servers may load at once.

Such an order is now dropped when its turn comes; the composer learns that it was not sent and orders the load again within the limits.

--- a/internal/agent/controller.go
+++ b/internal/agent/controller.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -66,7 +67,7 @@
 			return false
 		}
 		if !a.hasFullRegistry.Swap(true) {
-			ct.hasTraffic = a.hasOpenReplica()
+			ct.hasTraffic.Store(a.hasOpenReplica())
 			a.SendDigestSoon() // The nodes check what they know when they get the checksums.
 		}
 		return time.Now().After(ordersFrom) || (isRegistryComplete && a.hasNoReplicas())
@@ -151,7 +152,7 @@
 	// them.
 	events chan serviceEvent
 	// hasTraffic is set after the first request at any replica.
-	hasTraffic bool
+	hasTraffic atomic.Bool
 	// nextStepAt is the earliest time of the next decision step.
 	nextStepAt time.Time
 	// callSlots bounds the running orders and inspections. pendingCalls holds the
@@ -233,14 +234,16 @@
 		return
 	}
 	now := time.Now()
-	ct.hasTraffic = ct.hasTraffic || ct.agent.fleet.HasTraffic(now)
+	if !ct.hasTraffic.Load() && ct.agent.fleet.HasTraffic(now) {
+		ct.hasTraffic.Store(true)
+	}
 	stalled, active, slow := ct.agent.fleet.StalledReplicas(now), ct.agent.fleet.ActiveReplicas(now), ct.agent.fleet.SlowReplicas(now)
 	for _, service := range table.Services() {
 		if len(service.Models) == 0 {
 			continue
 		}
 		view := composition.View{
-			Servers: ct.agent.fleet.Servers(service.Name), Service: service, Stalled: stalled, Active: active, Slow: slow, HasTraffic: ct.hasTraffic,
+			Servers: ct.agent.fleet.Servers(service.Name), Service: service, Stalled: stalled, Active: active, Slow: slow, HasTraffic: ct.hasTraffic.Load(),
 		}
 		ct.performActions(ctx, service.Name, ct.composerFor(service.Name).Step(composition.ViewUpdated{View: view}, now))
 	}
@@ -310,7 +313,15 @@
 	for _, action := range actions {
 		switch action := action.(type) {
 		case composition.SendOrder:
-			ct.startCall(ctx, serverCall{action.ID, action.Order.Kind, action.Order.Epoch}, func() { ct.sendOrder(ctx, service, action) })
+			hadTraffic := ct.hasTraffic.Load()
+			ct.startCall(ctx, serverCall{action.ID, action.Order.Kind, action.Order.Epoch}, func() {
+				if action.Order.Kind == ring.OrderStage && hadTraffic != ct.hasTraffic.Load() {
+					// It was decided when loads were not limited.
+					ct.queueComposerEvent(service, composition.OrderEnded{ID: action.ID, Order: action.Order, Outcome: composition.OutcomeNotSent})
+					return
+				}
+				ct.sendOrder(ctx, service, action)
+			})
 		case composition.Inspect:
 			ct.startCall(ctx, serverCall{id: action.ID}, func() { ct.inspectServer(ctx, service, action) })
 		case composition.Inventory:
--- a/internal/agent/slow_test.go
+++ b/internal/agent/slow_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,6 +15,7 @@
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/routing"
 )
 
 // decisionCounter is a log handler that counts the controllers' decisions about replicas
@@ -64,6 +66,10 @@
 	// servers holds the state of each server by address; those that are missing never
 	// answer.
 	servers map[string]ring.Server
+	// register writes the registry entry of a server whose state has changed, if it is set.
+	register func(ring.Server)
+	// stagedAt holds when the orders to stage a model were carried out.
+	stagedAt []time.Time
 }
 
 // waitForProcessor returns when the processor has completed the call, or with an error
@@ -101,10 +107,21 @@
 		return false, context.DeadlineExceeded
 	}
 	s.Orders++
-	if o.Kind == ring.OrderLeave {
+	switch o.Kind {
+	case ring.OrderLeave:
 		s.Membership = ring.Membership{}
+	case ring.OrderJoin:
+		s.Model, s.Membership = o.Model, ring.Membership{Group: o.Group, Epoch: o.Epoch, Rank: slices.Index(o.Members, s.ID), State: ring.MemberReady}
+	case ring.OrderOpen:
+		s.Membership.State = ring.MemberOpen
+	case ring.OrderStage:
+		s.Staged = []ring.Model{o.Model}
+		c.stagedAt = append(c.stagedAt, time.Now())
 	}
 	c.servers[address] = s
+	if c.register != nil {
+		c.register(s)
+	}
 	return true, nil
 }
 
@@ -174,3 +191,49 @@
 		}
 	})
 }
+
+// TestQueuedLoadsAreNotSentOnceThereAreRequests guards against exceeding the rate of loads
+// from the weight store (CEILING): before the first request all servers may load at once,
+// and orders that a slow node still has queued then were sent all the same.
+func TestQueuedLoadsAreNotSentOnceThereAreRequests(t *testing.T) {
+	const loadsPerSecond, window, tolerance = 10, 5 * time.Second, 1.1
+	runCluster(t, 1, func(is *is.I, tc *testCluster) {
+		control := &busyControl{callTime: 10 * time.Millisecond, processor: make(chan struct{}, 1), servers: map[string]ring.Server{}, register: tc.putServer}
+		tc.agents[0].config.Control = control
+		for i := range 400 {
+			s := ring.Server{ID: ring.VM(fmt.Sprintf("h%03d", i)), Incarnation: "1", Address: fmt.Sprint("h", i), Service: "s", Domain: ring.Domain(fmt.Sprint("d", i/40))}
+			control.servers[s.Address] = s
+			tc.putServer(s)
+		}
+		models := []ring.ReplicaModel{{Name: "large", Size: 16, Share: 0.5, LoadTime: 16 * time.Second}, {Name: "small", Size: 4, Share: 0.5, LoadTime: 12 * time.Second}}
+		value, err := json.Marshal(ring.Routing{Number: 1, Services: []ring.RoutedService{{Name: "s", Models: models, LoadsPerSecond: loadsPerSecond, LoadsAtOnce: 200}}})
+		is.NoErr(err)
+		tc.writeKey("routing", value)
+		for len(control.staged(time.Time{})) < 20 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		tc.agents[0].fleet.ObserveProfile("large", routing.RequestProfile{Prefill: time.Millisecond})
+		began := time.Now().Add(200 * time.Millisecond) // Orders may be on their way.
+		time.Sleep(window + 200*time.Millisecond)
+		if n, most := len(control.staged(began)), int(loadsPerSecond*window.Seconds()*tolerance)+3; n > most {
+			t.Errorf("%d loads began within %s, want at most %d", n, window, most)
+		}
+		time.Sleep(20 * time.Second)
+		if n := len(control.staged(began)); n < 100 {
+			t.Errorf("%d loads began within 25 s, want at least 100 of those that were dropped", n)
+		}
+	})
+}
+
+// staged returns when orders to stage a model were carried out after a time.
+func (c *busyControl) staged(after time.Time) []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []time.Time
+	for _, at := range c.stagedAt {
+		if at.After(after) {
+			out = append(out, at)
+		}
+	}
+	return out
+}
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -202,6 +202,10 @@
 	if e.Outcome != OutcomeUnknown && s.unsettled[e.Order.Epoch] > 0 && isStarting(e.Order.Kind) {
 		s.unsettled[e.Order.Epoch]--
 	}
+	if e.Outcome == OutcomeNotSent {
+		s.recordNotSent(e.Order)
+		return
+	}
 	if e.Order.Kind == ring.OrderJoin && e.Outcome == OutcomeDone {
 		s.recordJoin(e.Order.Group, e.Order.Epoch)
 	}
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -113,6 +113,9 @@
 	OutcomeRefused Outcome = "refused"
 	OutcomeFenced  Outcome = "fenced"
 	OutcomeUnknown Outcome = "unknown"
+	// OutcomeNotSent: the caller did not send the order, because it was decided in a
+	// state that has changed since.
+	OutcomeNotSent Outcome = "not sent"
 )
 
 func (ViewUpdated) event() {}
--- a/internal/composition/server.go
+++ b/internal/composition/server.go
@@ -112,6 +112,17 @@
 	}
 }
 
+// recordNotSent records that an order was not sent, so that it may be given again at
+// once.
+func (s *serverState) recordNotSent(o ring.ReplicaOrder) {
+	if s.lastOrderEpoch == o.Epoch && s.lastOrderKind == o.Kind {
+		s.lastOrderEpoch, s.lastOrderKind, s.lastOrderAt = 0, "", time.Time{}
+	}
+	if o.Kind == ring.OrderStage && s.loadingModel == o.Model {
+		s.loadingModel = ""
+	}
+}
+
 // recordDone updates the seen state by an order that the server has carried out. The new
 // state is right if the server has accepted no other order since it was seen; otherwise
 // the number is too small, and the server refuses a conditional order.
