gateway, suspect: a request that ends its servers is contained

A strike is the end of a server's process under a request: the connection broke after the request was sent, and the server, which was not about to stop, refuses the next connection. It is strong if the request had just begun to run. Requests are told by what they ask (a digest keyed by the caller's key), never by ID. Nodes announce strikes to each other (in the tree through the root). After two strong strikes or three in all a request gets result 3007 at once, for a minute. A request with a strong strike goes to the replica with the fewest requests. eelgrass suspects lists and clears the registry.

Tests: TestRequestThatEndsItsServersIsContained, TestRepeatsAtOtherNodesAre Contained (2 servers end, without the refusal all ten), bystanders, resets and leaving servers, bounds of the registry, strikes reach 3, 30 and 90 nodes.

--- a/cmd/eelgrass/root.go
+++ b/cmd/eelgrass/root.go
@@ -46,7 +46,7 @@
 	c.PersistentFlags().StringVarP(&o.output, "output", "o", "table", "table or json")
 	c.AddCommand(
 		checkCommand(), diffCommand(o), applyCommand(o), historyCommand(o),
-		statusCommand(o), explainCommand(o), traceCommand(), drainCommand(o),
+		statusCommand(o), explainCommand(o), traceCommand(), drainCommand(o), suspectsCommand(o),
 	)
 	return c
 }
--- a/cmd/eelgrass/script_test.go
+++ b/cmd/eelgrass/script_test.go
@@ -23,6 +23,7 @@
 	"eelgrassring.dev/internal/retry"
 	"eelgrassring.dev/internal/route"
 	"eelgrassring.dev/internal/standin/platform"
+	"eelgrassring.dev/internal/suspect"
 )
 
 var update = flag.Bool("update", false, "update the golden files in the scripts instead of comparing")
@@ -69,6 +70,7 @@
 func (fakeAuthority) NodeCount() int                                          { return 1 }
 func (fakeAuthority) SendDigestSoon()                                         {}
 func (fakeAuthority) AnnouncePrefill(ring.Epoch, time.Duration)               {}
+func (fakeAuthority) AnnounceStrike(suspect.Strike)                           {}
 func (fakeAuthority) AnnounceLeaving(ring.Server)                             {}
 func (fakeAuthority) ShareRetryUsage(func(time.Time) retry.Usage) *retry.Pool { return nil }
 
@@ -90,7 +92,11 @@
 	})}
 	a := agent.New(agent.Config{Name: "r1", Fleet: f, Log: &event.Log{}, Timing: agent.DefaultTiming()})
 	front := gateway.NewFront(gateway.FrontConfig{Node: n, Fleet: f, Log: &event.Log{}, Metrics: metric.New()})
-	server := httptest.NewServer(admin.New(admin.Config{Version: "test", System: admin.NewRouted("r1", "a", a, f, front), Metrics: metric.New()}).Handler())
+	suspects := &suspect.Registry{}
+	for _, server := range []ring.VM{"e7", "e8"} {
+		suspects.Add(suspect.Strike{Request: 42, Server: server, Incarnation: "1", IsStrong: true}, time.Now())
+	}
+	server := httptest.NewServer(admin.New(admin.Config{Version: "test", System: admin.NewRouted("r1", "a", a, f, front), Metrics: metric.New(), Suspects: suspects}).Handler())
 	e.Defer(server.Close)
 	e.Setenv("ROUTED", strings.TrimPrefix(server.URL, "http://"))
 }
--- a/cmd/eelgrassd/routed.go
+++ b/cmd/eelgrassd/routed.go
@@ -25,6 +25,7 @@
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/peer"
 	"eelgrassring.dev/internal/settings"
+	"eelgrassring.dev/internal/suspect"
 	"eelgrassring.dev/platform"
 )
 
@@ -64,9 +65,9 @@
 	}
 	app := fx.New(
 		fx.Supply(s),
-		fx.Provide(newIncarnation, newLog, newPlatformStore, fleet.New, newAgent, metric.New, newRoutedGateway),
-		fx.Invoke(func(l fx.Lifecycle, stop fx.Shutdowner, a *agent.Agent, fl *fleet.Fleet, f *gateway.Front, m *metric.Registry, log *event.Log) {
-			serveRouted(l, stop, s, a, fl, f, m, log)
+		fx.Provide(newIncarnation, newLog, newPlatformStore, fleet.New, newSuspects, newAgent, metric.New, newRoutedGateway),
+		fx.Invoke(func(l fx.Lifecycle, stop fx.Shutdowner, a *agent.Agent, fl *fleet.Fleet, f *gateway.Front, suspects *suspect.Registry, m *metric.Registry, log *event.Log) {
+			serveRouted(l, stop, s, a, fl, f, suspects, m, log)
 			checkSettingsOnHangup(l, hangups, path, log)
 		}),
 		fx.StopTimeout(time.Duration(s.DrainTimeout)),
@@ -84,10 +85,13 @@
 	return platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Timeout: storeTimeout, WatchWait: maxWatchWait})
 }
 
+// newSuspects returns the registry of the requests under which backend servers have ended.
+func newSuspects() *suspect.Registry { return &suspect.Registry{} }
+
 // newAgent listens for digests (the state that peers send by datagram) and
 // returns the agent, which keeps this node's view of the backend servers and
 // peers.
-func newAgent(s settings.Settings, i incarnation, store ring.Store, f *fleet.Fleet, log *event.Log) (*agent.Agent, error) {
+func newAgent(s settings.Settings, i incarnation, store ring.Store, f *fleet.Fleet, suspects *suspect.Registry, log *event.Log) (*agent.Agent, error) {
 	transport, err := digest.Listen(s.DigestAddress)
 	if err != nil {
 		return nil, err
@@ -95,26 +99,26 @@
 	return agent.New(agent.Config{
 		Name: s.Name, Incarnation: string(i), Zone: ring.Zone(s.Zone), PeerAddress: s.DigestAddress, Transport: transport,
 		Store: store, Directory: platform.Directory{}, Control: platform.NewControl(), ConfigFetcher: peer.NewClient(), Fleet: f, Log: log,
-		Timing: agent.DefaultTiming(), Composition: composition.DefaultOptions(), Revocation: time.Duration(s.MaxRevocationDelay),
+		Timing: agent.DefaultTiming(), Composition: composition.DefaultOptions(), Revocation: time.Duration(s.MaxRevocationDelay), Suspects: suspects,
 	}), nil
 }
 
 // newRoutedGateway returns the handler of the callers' requests, which routes
 // them to the replicas in the fleet (the table of backend servers).
-func newRoutedGateway(s settings.Settings, a *agent.Agent, f *fleet.Fleet, m *metric.Registry, log *event.Log) *gateway.Front {
+func newRoutedGateway(s settings.Settings, a *agent.Agent, f *fleet.Fleet, suspects *suspect.Registry, m *metric.Registry, log *event.Log) *gateway.Front {
 	return gateway.NewFront(gateway.FrontConfig{
 		Node: a, Fleet: f, Dialect: platform.Dialect{}, Log: log, Metrics: m,
-		RetryRatio: s.RetryRatio * retryFraction, RetryBurst: s.RetryBurst,
+		RetryRatio: s.RetryRatio * retryFraction, RetryBurst: s.RetryBurst, Suspects: suspects,
 	})
 }
 
 // serveRouted starts the agent and the listeners when the application starts,
 // and shuts them down gracefully when it stops.
-func serveRouted(l fx.Lifecycle, stop fx.Shutdowner, s settings.Settings, a *agent.Agent, fl *fleet.Fleet, f *gateway.Front, m *metric.Registry, log *event.Log) {
+func serveRouted(l fx.Lifecycle, stop fx.Shutdowner, s settings.Settings, a *agent.Agent, fl *fleet.Fleet, f *gateway.Front, suspects *suspect.Registry, m *metric.Registry, log *event.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
 	callers := drain.NewServer(&http.Server{Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)})
 	readyServer := &http.Server{Handler: readyHandler(a), ReadHeaderTimeout: headerTimeout}
-	adminAPI := admin.New(admin.Config{Version: version, System: admin.NewRouted(s.Name, ring.Zone(s.Zone), a, fl, f), Metrics: m, Stop: func() { _ = stop.Shutdown() }})
+	adminAPI := admin.New(admin.Config{Version: version, System: admin.NewRouted(s.Name, ring.Zone(s.Zone), a, fl, f), Metrics: m, Stop: func() { _ = stop.Shutdown() }, Suspects: suspects})
 	adminServer := &http.Server{Handler: adminAPI.Handler(), ReadHeaderTimeout: headerTimeout}
 	peers := peer.NewServer()
 	peer.RegisterConfigSource(peers, a)
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -20,6 +20,7 @@
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/node"
 	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/suspect"
 )
 
 // System provides what a Server reports. It is a node whose groups are declared by
@@ -34,12 +35,14 @@
 	UpdateGauges(registry *metric.Registry)
 }
 
-// Config configures a Server. Stop starts a graceful shutdown of the node.
+// Config configures a Server. Stop starts a graceful shutdown of the node. Suspects holds
+// the requests under which backend servers have ended; it may be nil.
 type Config struct {
-	Version string
-	System  System
-	Metrics *metric.Registry
-	Stop    func()
+	Version  string
+	System   System
+	Metrics  *metric.Registry
+	Stop     func()
+	Suspects *suspect.Registry
 }
 
 // Server serves the operators' interface of one node.
@@ -48,7 +51,12 @@
 }
 
 // New returns a Server; Handler serves its requests.
-func New(c Config) *Server { return &Server{config: c} }
+func New(c Config) *Server {
+	if c.Suspects == nil {
+		c.Suspects = &suspect.Registry{}
+	}
+	return &Server{config: c}
+}
 
 // Handler returns the HTTP handler of the operators' interface.
 func (s *Server) Handler() http.Handler {
@@ -57,6 +65,8 @@
 	r.HandleFunc("/explain", s.serveExplanation).Methods(http.MethodGet)
 	r.HandleFunc("/metrics", s.serveMetrics).Methods(http.MethodGet)
 	r.HandleFunc("/version", s.serveVersion).Methods(http.MethodGet)
+	r.HandleFunc("/suspects", s.serveSuspects).Methods(http.MethodGet)
+	r.HandleFunc("/suspects", s.clearSuspects).Methods(http.MethodDelete)
 	r.HandleFunc("/drain", s.startDrain).Methods(http.MethodPost)
 	return r
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -57,6 +57,7 @@
 	"eelgrassring.dev/internal/mirror"
 	"eelgrassring.dev/internal/retry"
 	"eelgrassring.dev/internal/route"
+	"eelgrassring.dev/internal/suspect"
 )
 
 // Timing holds the intervals and timeouts of a node's loops and the TTLs of its
@@ -170,6 +171,8 @@
 	Timing        Timing
 	Composition   composition.Options
 	Revocation    time.Duration
+	// Suspects receives the strikes that peers announce; nil means a registry of its own.
+	Suspects *suspect.Registry
 }
 
 // Agent runs the background loops of one node and holds its view of the
@@ -192,11 +195,13 @@
 	stateMirror   *mirror.Mirror
 	// digestRequested wakes the digest loop before its interval has passed.
 	digestRequested chan struct{}
-	// noticeLimiter, extraChildLimiter and urgentLimiter count bytes sent to peers;
+	// noticeLimiter, extraChildLimiter, urgentLimiter and strikeLimiter count bytes sent to
+	// peers;
 	// stateListLimiter and configReadLimiter count calls to the store.
 	noticeLimiter     *rate.Limiter
 	extraChildLimiter *rate.Limiter
 	urgentLimiter     *rate.Limiter
+	strikeLimiter     *rate.Limiter
 	stateListLimiter  *rate.Limiter
 	configReadLimiter *rate.Limiter
 	// retryPool holds the retry usage of all nodes together.
@@ -250,8 +255,12 @@
 
 // New returns an agent for one node. It does nothing until Run is called.
 func New(c Config) *Agent {
+	if c.Suspects == nil {
+		c.Suspects = &suspect.Registry{}
+	}
 	return &Agent{
-		config: c, fleet: c.Fleet, log: c.Log, transport: c.Transport, startedAt: clock.NewInstant(), digestRequested: make(chan struct{}, 1),
+		strikeLimiter: rate.NewLimiter(strikeBytesPerSecond, strikeBurst),
+		config:        c, fleet: c.Fleet, log: c.Log, transport: c.Transport, startedAt: clock.NewInstant(), digestRequested: make(chan struct{}, 1),
 		extraChildLimiter: rate.NewLimiter(extraChildBytesPerSecond, extraChildBurst), urgentLimiter: rate.NewLimiter(urgentBytesPerSecond, urgentBurst), stateListLimiter: rate.NewLimiter(rate.Every(stateListInterval), 1), noticeLimiter: rate.NewLimiter(noticeBytesPerSecond, noticeBurst),
 		configReadLimiter: rate.NewLimiter(rate.Every(configReadInterval), 1), retryPool: &retry.Pool{}, peers: map[string]*peer{}, probes: map[uint64]chan digest.ProbeReply{}, probeAnswers: make(chan struct{}, maxProbeAnswers),
 	}
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -169,6 +169,15 @@
 	State       string
 }
 
+// Strike announces that a backend server has ended under a request; see package suspect.
+type Strike struct {
+	_           struct{} `cbor:",toarray"`
+	Request     uint64
+	Server      string
+	Incarnation string
+	IsStrong    bool
+}
+
 // Message is the content of one datagram; exactly one field is set.
 type Message struct {
 	Digest         *Digest         `cbor:"1,keyasint,omitempty"`
@@ -180,6 +189,7 @@
 	Entries        []Entry         `cbor:"7,keyasint,omitempty"`
 	EntriesRequest *EntriesRequest `cbor:"8,keyasint,omitempty"`
 	BucketListing  *BucketListing  `cbor:"9,keyasint,omitempty"`
+	Strikes        []Strike        `cbor:"10,keyasint,omitempty"`
 }
 
 // Transport sends and receives messages between nodes over a UDP socket.
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -17,6 +17,7 @@
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/retry"
 	"eelgrassring.dev/internal/route"
+	"eelgrassring.dev/internal/suspect"
 )
 
 const (
@@ -61,6 +62,8 @@
 	SendDigestSoon()
 	// AnnounceLeaving tells the peers that a backend server is about to stop.
 	AnnounceLeaving(s ring.Server)
+	// AnnounceStrike tells the peers that a server has ended under a request.
+	AnnounceStrike(s suspect.Strike)
 	// AnnouncePrefill tells the peers that this node sent a replica a prompt with the
 	// given prefill time.
 	AnnouncePrefill(e ring.Epoch, prefill time.Duration)
@@ -79,6 +82,9 @@
 	// RetryRatio retries per request, plus RetryBurst retries per retryWindow.
 	RetryRatio float64
 	RetryBurst float64
+	// Suspects holds the requests under which servers have ended, as known to this node
+	// and its peers. Nil means a registry of its own.
+	Suspects *suspect.Registry
 	// Dial connects to servers; nil means TCP.
 	Dial Dialer
 }
@@ -104,6 +110,9 @@
 	if c.Dial == nil {
 		c.Dial = newDialer().DialContext
 	}
+	if c.Suspects == nil {
+		c.Suspects = &suspect.Registry{}
+	}
 	stopping, stop := context.WithCancel(context.Background())
 	return &Front{
 		config:   c,
@@ -144,6 +153,8 @@
 	// attempts counts the attempts that reached a server. It is logged, like most of
 	// the fields below.
 	attempts int
+	// isSuspect is set if a server has ended soon after the request had begun to run.
+	isSuspect bool
 	// sentAt is when the last attempt got its connection.
 	sentAt time.Time
 	// maxEventGap is the longest time between two events of the stream.
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -13,6 +13,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,6 +26,7 @@
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/retry"
 	"eelgrassring.dev/internal/route"
+	"eelgrassring.dev/internal/suspect"
 )
 
 // testDialect reads and writes headers with the prefix T-.
@@ -77,6 +79,9 @@
 	draining  bool
 	// announced are the servers of the calls of AnnounceLeaving.
 	announced []ring.VM
+	// strikes are those of the calls of AnnounceStrike. They are added to peers.
+	strikes []suspect.Strike
+	peers   []*suspect.Registry
 }
 
 func (n *testNode) Routing() *route.Table {
@@ -117,6 +122,15 @@
 func (n *testNode) ShareRetryUsage(func(time.Time) retry.Usage) *retry.Pool { return nil }
 func (n *testNode) AnnouncePrefill(ring.Epoch, time.Duration)               {}
 
+func (n *testNode) AnnounceStrike(s suspect.Strike) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.strikes = append(n.strikes, s)
+	for _, peer := range n.peers {
+		peer.Add(s, time.Now())
+	}
+}
+
 func (n *testNode) AnnounceLeaving(s ring.Server) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -209,8 +223,11 @@
 
 // dial opens a connection to a test server.
 func (h *frontHarness) dial(_ context.Context, _, address string) (net.Conn, error) {
-	if h.refused[address] {
-		return nil, &net.OpError{Op: "dial", Err: errors.New("refused")}
+	h.mu.Lock()
+	isRefused := h.refused[address]
+	h.mu.Unlock()
+	if isRefused {
+		return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
 	}
 	client, server := net.Pipe()
 	h.conns.Go(func() { h.serve(address, server) })
--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -43,6 +43,9 @@
 		if failure := f.recheck(req); failure != nil {
 			return out.finish(failure)
 		}
+		if failure := f.refuseSuspect(req); failure != nil {
+			return out.finish(failure)
+		}
 		chosen, failure := out.nextReplica(ctx)
 		if failure != nil {
 			if lastFailure == nil || req.attempts == 0 {
@@ -58,6 +61,7 @@
 			return nil
 		}
 		f.logFailedAttempt(req, chosen.Head, err)
+		f.recordCrash(ctx, req, chosen.Head, err, out.begunAt)
 		if r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -103,8 +107,10 @@
 	started bool
 	// lastEventID is the ID of the last event that the caller has.
 	lastEventID string
-	// lastEventAt is when the last event was forwarded.
+	// lastEventAt is when the last event was forwarded, and begunAt when the first event
+	// of the current attempt came, or zero.
 	lastEventAt time.Time
+	begunAt     time.Time
 	// writeDeadline is the current deadline of writes to the caller.
 	writeDeadline time.Time
 	// tried holds the groups that the request was sent to. next is the replica that was
@@ -210,6 +216,7 @@
 func (o *replicaRelay) attempt(ctx context.Context, chosen fleet.Replica, isLast bool) (bool, *attemptError) {
 	req, f := o.request, o.front
 	streaming := false
+	o.begunAt = time.Time{}
 	defer func() { f.config.Fleet.EndRequest(chosen.Group, streaming) }()
 	ctx, watch := o.watch(ctx, chosen.Group, isLast)
 	defer watch.close()
@@ -284,6 +291,9 @@
 		}
 		now := time.Now()
 		o.front.config.Fleet.ObserveEvent(group, !*streaming, now)
+		if !*streaming {
+			o.begunAt = now
+		}
 		*streaming = true
 		if o.isDuplicate(e) {
 			continue
--- /dev/null
+++ b/internal/gateway/frontsuspect_test.go
@@ -0,0 +1,160 @@
+package gateway
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/metric"
+	"eelgrassring.dev/internal/suspect"
+)
+
+// withDeadlyRequests runs a test with ten replicas whose servers end 70 ms after a
+// request with the body "deadly" has begun to run, and then refuse connections. Other
+// requests run for runTime.
+func withDeadlyRequests(t *testing.T, runTime time.Duration, test func(t *testing.T, is *is.I, h *frontHarness)) {
+	t.Helper()
+	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+		for i := 3; i <= 10; i++ {
+			id := fmt.Sprint("e", i)
+			h.fleet.Put(ring.Server{
+				ID: ring.VM(id), Service: "engine", Address: id, Slots: 4, Model: "m",
+				Membership: ring.Membership{Group: ring.Group("g" + id), Epoch: ring.Epoch(i), State: ring.MemberOpen},
+			}, ring.Revision(i+20))
+		}
+		h.handle = func(server string, _ int, r receivedRequest, c net.Conn) {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.header.Get("T-Id"))
+			writeChunk(c, "id: 1\ndata: first\n\n")
+			end := time.Now().Add(runTime)
+			if string(r.body) == "deadly" {
+				end = time.Now().Add(70 * time.Millisecond)
+			}
+			for time.Now().Before(end) {
+				time.Sleep(10 * time.Millisecond)
+				if h.isRefused(server) {
+					return // The process has ended.
+				}
+			}
+			if string(r.body) == "deadly" {
+				h.end(server)
+				return
+			}
+			writeChunk(c, "id: 2\ndata: last\n\n")
+			endStream(c)
+		}
+		test(t, is, h)
+	})
+}
+
+// end makes a server's process end.
+func (h *frontHarness) end(server string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refused[server] = true
+}
+
+// isRefused reports whether a server refuses connections.
+func (h *frontHarness) isRefused(server string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.refused[server]
+}
+
+// endedServers returns how many servers have ended.
+func (h *frontHarness) endedServers() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.refused)
+}
+
+// addNode returns a Front of another node, which learns the strikes of the others after
+// delay.
+func (h *frontHarness) addNode() *Front {
+	known := &suspect.Registry{}
+	h.node.peers = append(h.node.peers, known)
+	return NewFront(FrontConfig{
+		Node: h.node, Fleet: h.fleet, Dialect: testDialect{}, Log: event.NewLog(slog.New(slog.DiscardHandler)), Metrics: metric.New(),
+		RetryRatio: 1, RetryBurst: 100, Dial: h.dial, Suspects: known,
+	})
+}
+
+// TestRequestThatEndsItsServersIsContained guards against one request that ends server
+// after server: the route's second attempt, and then the caller's repeats, which have
+// other IDs.
+func TestRequestThatEndsItsServersIsContained(t *testing.T) {
+	withDeadlyRequests(t, 0, func(t *testing.T, is *is.I, h *frontHarness) {
+		for i := range 4 {
+			w, isBroken := h.call("POST", "/draft/x", "deadly", "T-Id", fmt.Sprint("id", i))
+			is.True(isBroken || w.Code == 502)
+			if i > 0 {
+				is.Equal(w.Header().Get(headerCode), fmt.Sprint(int(ring.CodeCrashesServers)))
+			}
+		}
+		is.Equal(h.endedServers(), 2)
+		w, _ := h.call("POST", "/draft/x", "harmless", "T-Id", "other") // Requests beside it are served.
+		is.Equal(w.Code, 200)
+		time.Sleep(2 * time.Minute)
+		w, isBroken := h.call("POST", "/draft/x", "deadly", "T-Id", "later") // It is not refused for ever.
+		is.True(isBroken || w.Code != 502 || h.endedServers() > 2)
+	})
+}
+
+// TestRepeatsAtOtherNodesAreContained guards against nodes that know nothing of the
+// servers which ended under a request at another node.
+func TestRepeatsAtOtherNodesAreContained(t *testing.T) {
+	withDeadlyRequests(t, 0, func(t *testing.T, is *is.I, h *frontHarness) {
+		fronts := []*Front{h.addNode(), h.addNode(), h.addNode()}
+		for i := range 9 {
+			h.front = fronts[i%3]
+			h.call("POST", "/draft/x", "deadly", "T-Id", fmt.Sprint("id", i))
+		}
+		is.Equal(h.endedServers(), 2)
+	})
+}
+
+// TestStreamsBesideACrashAreNotRefused guards against refusing a request because it was at
+// servers that ended under others: it has run for a while each time.
+func TestStreamsBesideACrashAreNotRefused(t *testing.T) {
+	withDeadlyRequests(t, 2*time.Second, func(t *testing.T, is *is.I, h *frontHarness) {
+		done := make(chan *httptest.ResponseRecorder)
+		go func() {
+			w, _ := h.call("POST", "/draft/x", "harmless", "T-Id", "long")
+			done <- w
+		}()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		h.end(h.requests()[0].server)
+		w := <-done
+		is.Equal(w.Code, 200)
+		is.Equal(len(h.requests()), 2) // It was resumed.
+		for _, s := range h.node.strikes {
+			is.True(!s.IsStrong)
+		}
+	})
+}
+
+// TestResetOrLeavingServersAreNoStrike guards against suspecting a request whose
+// connection broke although its server lives on or is about to stop.
+func TestResetOrLeavingServersAreNoStrike(t *testing.T) {
+	for _, isLeaving := range []bool{false, true} {
+		withDeadlyRequests(t, 0, func(t *testing.T, is *is.I, h *frontHarness) {
+			h.handle = func(server string, _ int, r receivedRequest, c net.Conn) {
+				if isLeaving {
+					s, _ := h.fleet.Server(ring.VM(server))
+					h.fleet.MarkLeaving(s.ID, s.Incarnation, time.Now())
+					h.end(server)
+				}
+			}
+			h.call("POST", "/draft/x", "any", "T-Id", "id1")
+			is.Equal(len(h.node.strikes), 0)
+		})
+	}
+}
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -137,7 +137,11 @@
 // take requests, and false if none of them has room for this one.
 func (s *replicaSelector) tryAcquire(req *frontRequest, tried map[ring.Group]bool, prefill time.Duration, rank float64, now time.Time) (fleet.Candidate, int, bool) {
 	candidates := s.fleet.Candidates(req.service.Name, req.header.Model, tried, now)
-	c, ok := s.chooseWithin(candidates, s.limitFor(req, prefill, now), rank)
+	limit := s.limitFor(req, prefill, now)
+	c, ok := chooseLeastLoaded(candidates, limit)
+	if !req.isSuspect {
+		c, ok = s.chooseWithin(candidates, limit, rank)
+	}
 	if ok {
 		s.fleet.BeginRequest(c.Replica, prefill, now)
 	}
--- a/result.go
+++ b/result.go
@@ -50,6 +50,7 @@
 	CodeStreamBroken     Code = 3004 // the stream ended early
 	CodeStreamDiverged   Code = 3005 // the stream broke and its replay generated different text
 	CodeTimedOut         Code = 3006 // the backend server did not respond in time
+	CodeCrashesServers   Code = 3007 // backend servers have ended under this request or its repeats
 )
 
 // CodeInfo describes one code: its name, the HTTP status that is sent with it,
@@ -90,6 +91,7 @@
 	{CodeStreamBroken, "stream_broken", http.StatusBadGateway, RanYes, false},
 	{CodeStreamDiverged, "stream_diverged", http.StatusBadGateway, RanYes, false},
 	{CodeTimedOut, "timed_out", http.StatusGatewayTimeout, RanUnknown, false},
+	{CodeCrashesServers, "crashes_servers", http.StatusBadGateway, RanUnknown, false},
 }
 
 // Codes returns all codes in ascending order.
--- a/route.go
+++ b/route.go
@@ -149,6 +149,9 @@
 	// PromptTokens and OutputTokens are the sizes that the caller states.
 	PromptTokens int
 	OutputTokens int
+	// Content is what the header says of the request's content. It is the same in a
+	// caller's repeats of the request.
+	Content string
 	// LastEvent is the last event that the caller received of a stream it resumes.
 	LastEvent string
 }
