--- a/internal/gateway/frontsuspect_test.go
+++ b/internal/gateway/frontsuspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http/httptest"
 	"testing"
@@ -162,3 +163,33 @@
 		})
 	}
 }
+
+// TestCrashesWithoutACauseRefuseNobody plays crashes that no request causes, one after
+// the other and several at once, beside streams of all lengths.
+func TestCrashesWithoutACauseRefuseNobody(t *testing.T) {
+	for seed := range uint64(40) {
+		random := rand.New(rand.NewPCG(seed, 28))
+		withDeadlyRequests(t, 300*time.Millisecond, func(t *testing.T, is *is.I, h *frontHarness) {
+			done := make(chan string, 30)
+			for i := range 30 {
+				delay := time.Duration(random.IntN(3000)) * time.Millisecond
+				go func() {
+					time.Sleep(delay)
+					w, _ := h.call("POST", "/draft/x", fmt.Sprint("body", i), "T-Id", fmt.Sprint("id", i))
+					done <- w.Header().Get(headerCode)
+				}()
+			}
+			for range 4 { // Of ten servers, one or two at a time.
+				time.Sleep(time.Duration(random.IntN(800)) * time.Millisecond)
+				for range 1 + random.IntN(2) {
+					h.end(fmt.Sprint("e", 1+random.IntN(10)))
+				}
+			}
+			for range 30 {
+				if code := <-done; code == fmt.Sprint(int(ring.CodeCrashesServers)) {
+					t.Errorf("seed %d: a request was refused as a suspect", seed)
+				}
+			}
+		})
+	}
+}
