--- a/internal/composition/large_test.go
+++ b/internal/composition/large_test.go
@@ -36,12 +36,13 @@
 	}
 }
 
-// BenchmarkStep measures one decision about 875 servers: while all replicas are open,
-// and while the replicas of 60 lost servers are repaired.
+// BenchmarkStep measures one decision about 175, 875 and 3,115 servers, while the replicas
+// of 7 in 100 lost servers are repaired.
 func BenchmarkStep(b *testing.B) {
-	for name, lost := range map[string]int{"open": 0, "repair": 60} {
-		b.Run(name, func(b *testing.B) {
-			sim := newLargeSimulation(1, largeDomains)
+	for _, domains := range []int{5, largeDomains, 89} {
+		lost := domains * largeDomainSize * 7 / 100
+		b.Run(fmt.Sprint("servers=", domains*largeDomainSize), func(b *testing.B) {
+			sim := newLargeSimulation(1, domains)
 			c := New(Config{Options: DefaultOptions(), Term: 7})
 			sim.run(c, 8*time.Second)
 			sim.hasTraffic = true
