--- a/cmd/eelgrass/drain.go
+++ b/cmd/eelgrass/drain.go
@@ -22,13 +22,8 @@
 	return &cobra.Command{
 		Use: "drain", Short: "Stop a node gracefully", Long: drainHelp, Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			resp, err := http.Post("http://"+o.node+"/drain", "", nil)
-			if err != nil {
-				return fmt.Errorf("node %s does not respond: %w", o.node, err)
-			}
-			defer resp.Body.Close()
-			if resp.StatusCode != http.StatusAccepted {
-				return fmt.Errorf("node %s: HTTP status %d", o.node, resp.StatusCode)
+			if err := sendAdmin(c.Context(), http.MethodPost, o.node, "/drain", http.StatusAccepted); err != nil {
+				return err
 			}
 			fmt.Fprintf(c.OutOrStdout(), "node %s is draining\n", o.node)
 			return nil
--- a/cmd/eelgrass/suspects.go
+++ b/cmd/eelgrass/suspects.go
@@ -31,7 +31,11 @@
 		Use: "suspects", Short: "List the requests under which backend servers have ended", Long: suspectsHelp, Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if clears {
-				return clearSuspects(c, o)
+				if err := sendAdmin(c.Context(), http.MethodDelete, o.node, "/suspects", http.StatusNoContent); err != nil {
+					return err
+				}
+				fmt.Fprintf(c.OutOrStdout(), "node %s has forgotten all suspects\n", o.node)
+				return nil
 			}
 			var list []admin.SuspectStatus
 			if err := fetchJSON(c.Context(), o.node, "/suspects", &list); err != nil {
@@ -48,21 +52,3 @@
 	c.Flags().BoolVar(&clears, "clear", false, "forget the requests on this node")
 	return c
 }
-
-// clearSuspects makes a node forget the remembered requests.
-func clearSuspects(c *cobra.Command, o *options) error {
-	req, err := http.NewRequestWithContext(c.Context(), http.MethodDelete, "http://"+o.node+"/suspects", nil)
-	if err != nil {
-		return err
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return fmt.Errorf("node %s does not respond: %w", o.node, err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("node %s: HTTP status %d", o.node, resp.StatusCode)
-	}
-	fmt.Fprintf(c.OutOrStdout(), "node %s has forgotten all suspects\n", o.node)
-	return nil
-}
--- a/internal/agent/slow_test.go
+++ b/internal/agent/slow_test.go
@@ -125,6 +125,13 @@
 	return true, nil
 }
 
+// useBusyControl makes the first node reach the servers by a busyControl.
+func (tc *testCluster) useBusyControl(callTime time.Duration) *busyControl {
+	control := &busyControl{callTime: callTime, processor: make(chan struct{}, 1), servers: map[string]ring.Server{}}
+	tc.agents[0].config.Control = control
+	return control
+}
+
 // putBusyServers registers servers of an earlier controller's replica whose head is gone,
 // so that a new controller asks each of them for its state.
 func (tc *testCluster) putBusyServers(is *is.I, control *busyControl, n int) {
@@ -148,8 +155,7 @@
 // calls.
 func TestSlowControllerTakesNoLiveServerForDead(t *testing.T) {
 	runCluster(t, 1, func(is *is.I, tc *testCluster) {
-		control := &busyControl{callTime: 10 * time.Millisecond, processor: make(chan struct{}, 1), servers: map[string]ring.Server{}}
-		tc.agents[0].config.Control = control
+		control := tc.useBusyControl(10 * time.Millisecond)
 		tc.putBusyServers(is, control, 400)
 		time.Sleep(20 * time.Second)
 		if n := tc.decisions.count("server considered dead"); n != 0 {
@@ -162,8 +168,7 @@
 // slowness does not hide servers that are dead.
 func TestSlowControllerFindsDeadServers(t *testing.T) {
 	runCluster(t, 1, func(is *is.I, tc *testCluster) {
-		control := &busyControl{callTime: 10 * time.Millisecond, processor: make(chan struct{}, 1), servers: map[string]ring.Server{}}
-		tc.agents[0].config.Control = control
+		control := tc.useBusyControl(10 * time.Millisecond)
 		tc.putBusyServers(is, control, 400)
 		control.mu.Lock()
 		for i := range 10 {
@@ -182,8 +187,7 @@
 // took most of its processor time, and the calls in progress timed out.
 func TestManyResultsCauseFewDecisions(t *testing.T) {
 	runCluster(t, 1, func(is *is.I, tc *testCluster) {
-		control := &busyControl{callTime: time.Millisecond, processor: make(chan struct{}, 1), servers: map[string]ring.Server{}}
-		tc.agents[0].config.Control = control
+		control := tc.useBusyControl(time.Millisecond)
 		tc.putBusyServers(is, control, 400)
 		time.Sleep(10 * time.Second)
 		if steps, most := tc.decisions.maxSteps, 250; steps > most { // 100 a second, in 2 s and the rest of a tick
@@ -198,8 +202,8 @@
 func TestQueuedLoadsAreNotSentOnceThereAreRequests(t *testing.T) {
 	const loadsPerSecond, window, tolerance = 10, 5 * time.Second, 1.1
 	runCluster(t, 1, func(is *is.I, tc *testCluster) {
-		control := &busyControl{callTime: 10 * time.Millisecond, processor: make(chan struct{}, 1), servers: map[string]ring.Server{}, register: tc.putServer}
-		tc.agents[0].config.Control = control
+		control := tc.useBusyControl(10 * time.Millisecond)
+		control.register = tc.putServer
 		for i := range 400 {
 			s := ring.Server{ID: ring.VM(fmt.Sprintf("h%03d", i)), Incarnation: "1", Address: fmt.Sprint("h", i), Service: "s", Domain: ring.Domain(fmt.Sprint("d", i/40))}
 			control.servers[s.Address] = s
