agent, gateway: strikes of a server travel in one message; none before the first event is weak

Its strikes were weak, as servers ended before its first event had arrived, and most nodes knew only some of them: each request at a server that ended gave a datagram, 48 a server, above the rate limit of the node that forwards them.

Strikes of one server now wait 10 ms for each other and travel as a list of digests; a request without events gets a strong strike.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -195,15 +195,15 @@
 	stateMirror   *mirror.Mirror
 	// digestRequested wakes the digest loop before its interval has passed.
 	digestRequested chan struct{}
-	// noticeLimiter, extraChildLimiter, urgentLimiter and strikeLimiter count bytes sent to
-	// peers;
+	// noticeLimiter, extraChildLimiter and urgentLimiter count bytes sent to peers;
 	// stateListLimiter and configReadLimiter count calls to the store.
 	noticeLimiter     *rate.Limiter
 	extraChildLimiter *rate.Limiter
 	urgentLimiter     *rate.Limiter
-	strikeLimiter     *rate.Limiter
 	stateListLimiter  *rate.Limiter
 	configReadLimiter *rate.Limiter
+	// strikes are about to be sent to the peers.
+	strikes *strikeQueue
 	// retryPool holds the retry usage of all nodes together.
 	retryPool    *retry.Pool
 	draining     atomic.Bool
@@ -259,8 +259,8 @@
 		c.Suspects = &suspect.Registry{}
 	}
 	return &Agent{
-		strikeLimiter: rate.NewLimiter(strikeBytesPerSecond, strikeBurst),
-		config:        c, fleet: c.Fleet, log: c.Log, transport: c.Transport, startedAt: clock.NewInstant(), digestRequested: make(chan struct{}, 1),
+		strikes: newStrikeQueue(),
+		config:  c, fleet: c.Fleet, log: c.Log, transport: c.Transport, startedAt: clock.NewInstant(), digestRequested: make(chan struct{}, 1),
 		extraChildLimiter: rate.NewLimiter(extraChildBytesPerSecond, extraChildBurst), urgentLimiter: rate.NewLimiter(urgentBytesPerSecond, urgentBurst), stateListLimiter: rate.NewLimiter(rate.Every(stateListInterval), 1), noticeLimiter: rate.NewLimiter(noticeBytesPerSecond, noticeBurst),
 		configReadLimiter: rate.NewLimiter(rate.Every(configReadInterval), 1), retryPool: &retry.Pool{}, peers: map[string]*peer{}, probes: map[uint64]chan digest.ProbeReply{}, probeAnswers: make(chan struct{}, maxProbeAnswers),
 	}
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -272,8 +272,8 @@
 		a.applyEntries(m.Entries)
 	case m.EntriesRequest != nil:
 		a.answerEntriesRequest(from, m.EntriesRequest)
-	case len(m.Strikes) > 0:
-		a.applyStrikes(m.Strikes)
+	case m.Strikes != nil:
+		a.applyStrikes(*m.Strikes)
 	case m.BucketListing != nil:
 		a.applyBucketListing(m.BucketListing)
 	case m.PrefillNotice != nil:
--- a/internal/agent/strikes.go
+++ b/internal/agent/strikes.go
@@ -1,70 +1,146 @@
 package agent
 
 import (
+	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/digest"
 	"eelgrassring.dev/internal/suspect"
 )
 
 const (
-	// strikeBytes is the size of a datagram with one strike, for the rate limit.
-	strikeBytes = 120
-	// strikeBytesPerSecond and strikeBurst bound the strikes that a node sends.
-	strikeBytesPerSecond = 600
-	strikeBurst          = 6000
+	// strikeDelay is how long strikes wait for others of the same server, of which each
+	// request that it ran gives one.
+	strikeDelay = 10 * time.Millisecond
+	// strikesPerDatagram is the number of strikes of one server that fit into a datagram.
+	strikesPerDatagram = 100
+	// strikeBytesPerSecond and strikeBurst bound the strikes that a node sends. A server
+	// that ends with 50 requests gives 2 KB, to four children.
+	strikeBytesPerSecond = 2000
+	strikeBurst          = 40_000
 )
 
-// AnnounceStrike tells the other nodes that a backend server has ended under a request.
-// With few nodes the message goes to all of them, in the tree of nodes to the root and to
-// this node's children.
-func (a *Agent) AnnounceStrike(s suspect.Strike) {
-	strikes := []digest.Strike{{Request: uint64(s.Request), Server: string(s.Server), Incarnation: s.Incarnation, IsStrong: s.IsStrong}}
-	if !a.usesTree() {
-		a.sendStrikes(a.peerAddresses(), strikes)
-		return
+// process is one start of a server.
+type process struct {
+	server      ring.VM
+	incarnation string
+}
+
+// strikeQueue holds strikes that are about to be sent, by the process that has ended.
+type strikeQueue struct {
+	mu sync.Mutex
+	// own are the strikes of this node, and others those of its peers that it forwards.
+	own, others map[process]map[suspect.Digest]bool
+	isScheduled bool
+	limiter     *rate.Limiter
+}
+
+// newStrikeQueue returns an empty queue.
+func newStrikeQueue() *strikeQueue {
+	return &strikeQueue{own: map[process]map[suspect.Digest]bool{}, others: map[process]map[suspect.Digest]bool{}, limiter: rate.NewLimiter(strikeBytesPerSecond, strikeBurst)}
+}
+
+// add queues a strike in one of the queue's maps, and calls flush after strikeDelay unless
+// a call is scheduled.
+func (q *strikeQueue) add(to map[process]map[suspect.Digest]bool, s suspect.Strike, flush func()) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := process{s.Server, s.Incarnation}
+	if to[p] == nil {
+		to[p] = map[suspect.Digest]bool{}
 	}
-	a.forwardStrikes(strikes)
-	a.mu.Lock()
-	root, known := a.peers[a.controller]
-	a.mu.Unlock()
-	if known && !a.isController.Load() {
-		a.sendStrikes([]string{root.address}, strikes)
+	to[p][s.Request] = s.IsStrong
+	if !q.isScheduled {
+		q.isScheduled = true
+		time.AfterFunc(strikeDelay, flush)
 	}
 }
 
-// applyStrikes records the strikes that a peer announced. In the tree of nodes it forwards
-// those that are new to this node's children.
-func (a *Agent) applyStrikes(strikes []digest.Strike) {
-	var added []digest.Strike
-	for _, s := range strikes {
-		strike := suspect.Strike{Request: suspect.Digest(s.Request), Server: ring.VM(s.Server), Incarnation: s.Incarnation, IsStrong: s.IsStrong}
-		if _, isNew := a.config.Suspects.Add(strike, time.Now()); isNew {
-			added = append(added, s)
+// take returns the queued strikes as messages and empties the queue.
+func (q *strikeQueue) take() (own, others []digest.Strikes) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	own, others = strikeMessages(q.own), strikeMessages(q.others)
+	clear(q.own)
+	clear(q.others)
+	q.isScheduled = false
+	return own, others
+}
+
+// strikeMessages returns strikes in the form of messages, one for each process that has
+// ended, or more if it ran very many requests.
+func strikeMessages(strikes map[process]map[suspect.Digest]bool) []digest.Strikes {
+	var out []digest.Strikes
+	for p, requests := range strikes {
+		m := digest.Strikes{Server: string(p.server), Incarnation: p.incarnation}
+		for request, isStrong := range requests {
+			if isStrong {
+				m.Strong = append(m.Strong, uint64(request))
+			} else {
+				m.Weak = append(m.Weak, uint64(request))
+			}
+			if len(m.Strong)+len(m.Weak) == strikesPerDatagram {
+				out = append(out, m)
+				m.Strong, m.Weak = nil, nil
+			}
+		}
+		if len(m.Strong)+len(m.Weak) > 0 {
+			out = append(out, m)
 		}
 	}
-	if len(added) > 0 && a.usesTree() {
-		a.forwardStrikes(added)
+	return out
+}
+
+// AnnounceStrike tells the other nodes that a backend server has ended under a request.
+func (a *Agent) AnnounceStrike(s suspect.Strike) { a.strikes.add(a.strikes.own, s, a.sendStrikes) }
+
+// applyStrikes records the strikes that a peer announced. In the tree of nodes it forwards
+// those that are new.
+func (a *Agent) applyStrikes(m digest.Strikes) {
+	now, forwards := time.Now(), a.usesTree()
+	apply := func(requests []uint64, isStrong bool) {
+		for _, request := range requests {
+			s := suspect.Strike{Request: suspect.Digest(request), Server: ring.VM(m.Server), Incarnation: m.Incarnation, IsStrong: isStrong}
+			if _, isNew := a.config.Suspects.Add(s, now); isNew && forwards {
+				a.strikes.add(a.strikes.others, s, a.sendStrikes)
+			}
+		}
 	}
+	apply(m.Strong, true)
+	apply(m.Weak, false)
 }
 
-// forwardStrikes sends strikes to this node's regular children in the tree of nodes.
-func (a *Agent) forwardStrikes(strikes []digest.Strike) {
+// sendStrikes sends the queued strikes. With few nodes each sends its own to all others.
+// In the tree of nodes they go to the root and to this node's children, and those of
+// peers to the children.
+func (a *Agent) sendStrikes() {
+	own, others := a.strikes.take()
+	if !a.usesTree() {
+		a.sendStrikesTo(a.peerAddresses(), own)
+		return
+	}
 	a.mu.Lock()
 	children := a.regularChildren()
+	root, known := a.peers[a.controller]
 	a.mu.Unlock()
-	a.sendStrikes(children, strikes)
+	if known && !a.isController.Load() {
+		a.sendStrikesTo([]string{root.address}, own)
+	}
+	a.sendStrikesTo(children, append(own, others...))
 }
 
-// sendStrikes sends strikes to nodes, one a datagram, within the rate limit.
-func (a *Agent) sendStrikes(addresses []string, strikes []digest.Strike) {
-	for _, address := range addresses {
-		for i := range strikes {
-			if !a.strikeLimiter.AllowN(time.Now(), strikeBytes) {
+// sendStrikesTo sends messages to nodes, within the rate limit.
+func (a *Agent) sendStrikesTo(addresses []string, messages []digest.Strikes) {
+	now := time.Now()
+	for _, m := range messages {
+		for _, address := range addresses {
+			if a.strikes.limiter.TokensAt(now) <= 0 {
 				return
 			}
-			a.send(address, digest.Message{Strikes: strikes[i : i+1]})
+			a.strikes.limiter.ReserveN(now, a.send(address, digest.Message{Strikes: &m}))
 		}
 	}
 }
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -169,13 +169,14 @@
 	State       string
 }
 
-// Strike announces that a backend server has ended under a request; see package suspect.
-type Strike struct {
+// Strikes announces that a backend server has ended under the requests with the given
+// digests; see package suspect.
+type Strikes struct {
 	_           struct{} `cbor:",toarray"`
-	Request     uint64
 	Server      string
 	Incarnation string
-	IsStrong    bool
+	Strong      []uint64
+	Weak        []uint64
 }
 
 // Message is the content of one datagram; exactly one field is set.
@@ -189,7 +190,7 @@
 	Entries        []Entry         `cbor:"7,keyasint,omitempty"`
 	EntriesRequest *EntriesRequest `cbor:"8,keyasint,omitempty"`
 	BucketListing  *BucketListing  `cbor:"9,keyasint,omitempty"`
-	Strikes        []Strike        `cbor:"10,keyasint,omitempty"`
+	Strikes        *Strikes        `cbor:"10,keyasint,omitempty"`
 }
 
 // Transport sends and receives messages between nodes over a UDP socket.
--- a/internal/gateway/frontsuspect.go
+++ b/internal/gateway/frontsuspect.go
@@ -15,8 +15,9 @@
 	"eelgrassring.dev/internal/suspect"
 )
 
-// strongStrikeTime is how long a request may have run when its server ends for the
-// strike to be strong.
+// strongStrikeTime is how long a request may have had events when its server ends for the
+// strike to be strong. A server may end before the first event of the request under which
+// it ends reaches this node.
 const strongStrikeTime = 500 * time.Millisecond
 
 // digest returns the digest of what the request asks for, keyed by the caller's key.
@@ -51,7 +52,7 @@
 	}
 	strike := suspect.Strike{
 		Request: req.digest(), Server: head.ID, Incarnation: head.Incarnation,
-		IsStrong: !begunAt.IsZero() && now.Sub(begunAt) < strongStrikeTime,
+		IsStrong: begunAt.IsZero() || now.Sub(begunAt) < strongStrikeTime,
 	}
 	record, isNew := f.config.Suspects.Add(strike, now)
 	if !isNew {
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -6,8 +6,8 @@
 //   - Digest: a keyed hash of what a request asks for. A caller's repeats of a request have
 //     the same digest, whatever their IDs.
 //   - Strike: the end of a server's process while a request was at it. A strike is strong
-//     if the request had just begun to run: a request that has run for a while, or has not
-//     begun, is more likely a bystander.
+//     if the request had no events yet, or only for a short time: a request that has run for
+//     a while is more likely a bystander.
 //
 // Invariants:
 //
