--- a/internal/agent/inspect.go
+++ b/internal/agent/inspect.go
@@ -33,7 +33,6 @@
 	if err == nil && action.WithHealth && !leaving {
 		leaving = ct.isLeaving(ctx, service, action)
 	}
-	ct.load.addResult(ctx, err)
 	if leaving {
 		ct.agent.recordLeaving(action.ID, s.Incarnation)
 	}
@@ -65,22 +64,21 @@
 		s, err := inspect(ctx, action.Address)
 		result <- inspection{s, err}
 	}()
+	deadline := time.Now().Add(ct.agent.config.Timing.InspectTimeout)
 	timer := time.NewTimer(ct.agent.config.Timing.InspectTimeout)
 	defer timer.Stop()
+	r := inspection{err: context.DeadlineExceeded}
 	select {
-	case r := <-result:
+	case r = <-result:
 		if !isTimeout(r.err) {
 			return r.server, r.err
 		}
-		if !ct.references.isGood(ctx, term, service, action.ID) {
-			return ring.Server{}, errInconclusive
-		}
-		return r.server, r.err
 	case <-timer.C:
 	}
+	ct.load.addTimeout(time.Since(deadline))
 	isGood := ct.references.isGood(ctx, term, service, action.ID)
 	select {
-	case r := <-result:
+	case r = <-result: // It came while the reference was asked.
 		if !isTimeout(r.err) {
 			return r.server, r.err
 		}
@@ -89,7 +87,7 @@
 	if !isGood {
 		return ring.Server{}, errInconclusive
 	}
-	return ring.Server{}, context.DeadlineExceeded
+	return ring.Server{}, r.err
 }
 
 // isTimeout reports whether a call failed because time has passed, rather than by an
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -1,8 +1,6 @@
 package agent
 
 import (
-	"context"
-	"errors"
 	"log/slog"
 	"sync"
 	"time"
@@ -54,16 +52,13 @@
 	l.queueWaitMax = max(l.queueWaitMax, waited)
 }
 
-// addResult counts a call that ended now if it had no response until its deadline.
-func (l *controllerLoad) addResult(ctx context.Context, err error) {
-	deadline, ok := ctx.Deadline()
-	if !ok || !errors.Is(err, context.DeadlineExceeded) {
-		return
-	}
+// addTimeout counts a call without a response, which this node noticed late after its
+// deadline.
+func (l *controllerLoad) addTimeout(late time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.timeouts++
-	l.lateMax = max(l.lateMax, time.Since(deadline))
+	l.lateMax = max(l.lateMax, late)
 }
 
 // write logs the measures since the last call and resets them.
