--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -187,6 +187,8 @@
 	cancels []context.CancelFunc
 	// failsFetches makes all fetches of configurations from peers fail while it is set.
 	failsFetches bool
+	// fetchTime is how long a fetch of a configuration from a peer takes.
+	fetchTime time.Duration
 	// decisions counts the controllers' decisions.
 	decisions *decisionCounter
 }
@@ -195,7 +197,10 @@
 // with the given address directly.
 type testConfigFetcher struct{ cluster *testCluster }
 
-func (f testConfigFetcher) FetchConfig(_ context.Context, address string, after int64) (int64, []byte, error) {
+func (f testConfigFetcher) FetchConfig(ctx context.Context, address string, after int64) (int64, []byte, error) {
+	if !clock.Sleep(ctx, f.cluster.fetchTime) {
+		return 0, nil, ctx.Err()
+	}
 	for _, a := range f.cluster.agents {
 		if a.config.Name == address && !f.cluster.failsFetches {
 			number, text := a.ActiveConfig()
@@ -378,6 +383,30 @@
 	}
 }
 
+// TestPeersHandOverALargeConfigurationToANodeWithoutStore guards against nodes that never
+// get a configuration of thousands of routes from a peer over a slow link while the store
+// is down for them, and serve by the one before.
+func TestPeersHandOverALargeConfigurationToANodeWithoutStore(t *testing.T) {
+	const bound = 3 * time.Second // the target for a change to be in force
+	runCluster(t, 3, func(_ *is.I, tc *testCluster) {
+		tc.writeConfig(1)
+		time.Sleep(10 * time.Second)
+		node := 0
+		for tc.agents[node].IsController() {
+			node++
+		}
+		tc.stores[node].SetFault(platform.FaultDown)
+		tc.fetchTime = 700 * time.Millisecond
+		tc.writeConfig(2)
+		time.Sleep(bound)
+		if n := tc.agents[node].Routing().Number(); n != 2 {
+			t.Errorf("configuration %d is active after %s, want 2", n, bound)
+		}
+		tc.fetchTime = 0
+		time.Sleep(2 * time.Second) // The running fetch ends.
+	})
+}
+
 // TestControllerLimitsConcurrentOrders checks that a controller which has to form
 // about a thousand servers into replicas at the start reaches all of them with a
 // bounded number of concurrent orders. When all were sent at once, none completed
