proof, fake: a node that stops between two questions is no panic

Controller in internal/fake had the same cause.

No assertion changes: a node that is gone has no configuration that could go back.

--- a/internal/fake/nodeprocess.go
+++ b/internal/fake/nodeprocess.go
@@ -147,7 +147,8 @@
 // controller (the node that assigns VMs to groups), or "".
 func (s *System) Controller() string {
 	for _, name := range s.NodeNames() {
-		if s.Node(name).Node.IsController() {
+		process := s.Node(name) // It may have been stopped since its name was listed.
+		if process != nil && process.Node.IsController() {
 			return name
 		}
 	}
--- a/internal/proof/mixed_failures_test.go
+++ b/internal/proof/mixed_failures_test.go
@@ -147,7 +147,11 @@
 			case <-time.After(50 * time.Millisecond):
 			}
 			for _, name := range s.NodeNames() {
-				_, number := s.Node(name).Node.Table().Configuration()
+				process := s.Node(name)
+				if process == nil {
+					continue // It was stopped since its name was listed.
+				}
+				_, number := process.Node.Table().Configuration()
 				if number < highest[name] {
 					reverts++
 				}
