gateway, composition, agent: no work where nothing asks for it

Read in the diff: each attempt looked for the least loaded replica, also of requests without a strike; each decision sorted the replicas of all domains before it was known whether a domain lacks one; a reference copied and shuffled all servers to ask two.

--- a/internal/agent/reference.go
+++ b/internal/agent/reference.go
@@ -106,18 +106,16 @@
 // choose returns up to referenceCalls servers of the service, at random, that are not
 // suspects. It prefers servers that are members of a replica.
 func (r *references) choose(service ring.Service, suspects map[ring.VM]bool) []ring.Server {
-	var members, others []ring.Server
-	for _, s := range r.fleet.Servers(service) {
-		switch {
-		case suspects[s.ID] || s.Address == "":
-		case s.Membership.Group != "":
-			members = append(members, s)
-		default:
-			others = append(others, s)
+	servers := r.fleet.Servers(service)
+	order := rand.Perm(len(servers))
+	var out []ring.Server
+	for _, wantsMember := range []bool{true, false} {
+		for _, i := range order {
+			s := &servers[i]
+			if len(out) < referenceCalls && !suspects[s.ID] && s.Address != "" && (s.Membership.Group != "") == wantsMember {
+				out = append(out, *s)
+			}
 		}
 	}
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	members = append(members, others...)
-	return members[:min(len(members), referenceCalls)]
+	return out
 }
--- a/internal/composition/trade.go
+++ b/internal/composition/trade.go
@@ -22,7 +22,7 @@
 		return
 	}
 	for _, domain := range c.domains {
-		if servers, isSettled := free[domain]; isSettled && !c.hasReleasing(domain) {
+		if servers, isSettled := free[domain]; isSettled {
 			c.tradeReplicasIn(domain, servers, now)
 		}
 	}
@@ -46,7 +46,8 @@
 }
 
 // tradeReplicasIn releases the replicas of one domain whose servers complete a replica of
-// the most needed model that the domain has lacked for longer than LeaveTimeout.
+// the most needed model that the domain has lacked for longer than LeaveTimeout, unless
+// one is being released already.
 func (c *Composer) tradeReplicasIn(domain ring.Domain, free []*serverState, now time.Time) {
 	var missing []ring.ReplicaModel
 	for _, m := range c.view.Service.Models {
@@ -55,6 +56,9 @@
 			missing = append(missing, m)
 		}
 	}
+	if len(missing) == 0 || c.hasReleasing(domain) {
+		return
+	}
 	slices.SortStableFunc(missing, func(a, b ring.ReplicaModel) int {
 		return cmp.Compare(c.needForReplica(b), c.needForReplica(a))
 	})
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -138,10 +138,11 @@
 func (s *replicaSelector) tryAcquire(req *frontRequest, tried map[ring.Group]bool, prefill time.Duration, rank float64, now time.Time) (fleet.Candidate, int, bool) {
 	candidates := s.fleet.Candidates(req.service.Name, req.header.Model, tried, now)
 	limit := s.limitFor(req, prefill, now)
-	c, ok := chooseLeastLoaded(candidates, limit)
-	if !req.isSuspect {
-		c, ok = s.chooseWithin(candidates, limit, rank)
+	choose := func() (fleet.Candidate, bool) { return s.chooseWithin(candidates, limit, rank) }
+	if req.isSuspect {
+		choose = func() (fleet.Candidate, bool) { return chooseLeastLoaded(candidates, limit) }
 	}
+	c, ok := choose()
 	if ok {
 		s.fleet.BeginRequest(c.Replica, prefill, now)
 	}
