suspect, agent, gateway: an empty registry of suspects is empty again; one type for a process

Read in the diff: entries were dropped only when a strike was added, so that after one strike each later attempt computed the digest of its request for ever, although no record was found. IsEmpty now goes by the end of the last retention (TestRegistryIsEmptyAfterTheRetention; what is refused does not change). The agent's own type of a server's process was a copy. Help, events and pages said of strong strikes what they were before.

--- a/cmd/eelgrass/suspects.go
+++ b/cmd/eelgrass/suspects.go
@@ -13,8 +13,8 @@
 
 const suspectsHelp = `suspects lists the requests under which backend servers have ended.
 
-A request is refused when two servers have ended just after it had begun to run, or
-three in all; it is forgotten a minute after the last one. The digest identifies what
+A request is refused when two servers have ended before it had events for half a second
+(strong), or three in all; it is forgotten a minute after the last one. The digest identifies what
 the request asks for and is in the log events 414 and 415. --clear makes this node
 forget all of them; the other nodes keep theirs.
 
--- a/internal/admin/suspects.go
+++ b/internal/admin/suspects.go
@@ -9,8 +9,8 @@
 )
 
 // SuspectStatus is one request under which backend servers have ended, as this node
-// remembers it. Strong counts the servers that ended just after the request had begun to
-// run. It is forgotten after the time For.
+// remembers it. Strong counts the servers that ended before the request had events for
+// half a second. It is forgotten after the time For.
 type SuspectStatus struct {
 	Digest  uint64              `json:"digest,string"`
 	Servers []ring.VM           `json:"servers"`
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -259,10 +259,9 @@
 		c.Suspects = &suspect.Registry{}
 	}
 	return &Agent{
-		strikes: newStrikeQueue(),
-		config:  c, fleet: c.Fleet, log: c.Log, transport: c.Transport, startedAt: clock.NewInstant(), digestRequested: make(chan struct{}, 1),
+		config: c, fleet: c.Fleet, log: c.Log, transport: c.Transport, startedAt: clock.NewInstant(), digestRequested: make(chan struct{}, 1),
 		extraChildLimiter: rate.NewLimiter(extraChildBytesPerSecond, extraChildBurst), urgentLimiter: rate.NewLimiter(urgentBytesPerSecond, urgentBurst), stateListLimiter: rate.NewLimiter(rate.Every(stateListInterval), 1), noticeLimiter: rate.NewLimiter(noticeBytesPerSecond, noticeBurst),
-		configReadLimiter: rate.NewLimiter(rate.Every(configReadInterval), 1), retryPool: &retry.Pool{}, peers: map[string]*peer{}, probes: map[uint64]chan digest.ProbeReply{}, probeAnswers: make(chan struct{}, maxProbeAnswers),
+		configReadLimiter: rate.NewLimiter(rate.Every(configReadInterval), 1), retryPool: &retry.Pool{}, strikes: newStrikeQueue(), peers: map[string]*peer{}, probes: map[uint64]chan digest.ProbeReply{}, probeAnswers: make(chan struct{}, maxProbeAnswers),
 	}
 }
 
--- a/internal/agent/strikes.go
+++ b/internal/agent/strikes.go
@@ -23,32 +23,33 @@
 	strikeBurst          = 40_000
 )
 
-// process is one start of a server.
-type process struct {
-	server      ring.VM
-	incarnation string
-}
+// queuedStrikes maps a process that has ended to the requests that were at it, and these
+// to whether their strike is strong.
+type queuedStrikes map[suspect.Process]map[suspect.Digest]bool
 
-// strikeQueue holds strikes that are about to be sent, by the process that has ended.
+// strikeQueue holds strikes that are about to be sent.
 type strikeQueue struct {
 	mu sync.Mutex
 	// own are the strikes of this node, and others those of its peers that it forwards.
-	own, others map[process]map[suspect.Digest]bool
+	own, others queuedStrikes
 	isScheduled bool
 	limiter     *rate.Limiter
 }
 
 // newStrikeQueue returns an empty queue.
 func newStrikeQueue() *strikeQueue {
-	return &strikeQueue{own: map[process]map[suspect.Digest]bool{}, others: map[process]map[suspect.Digest]bool{}, limiter: rate.NewLimiter(strikeBytesPerSecond, strikeBurst)}
+	return &strikeQueue{own: queuedStrikes{}, others: queuedStrikes{}, limiter: rate.NewLimiter(strikeBytesPerSecond, strikeBurst)}
 }
 
-// add queues a strike in one of the queue's maps, and calls flush after strikeDelay unless
-// a call is scheduled.
-func (q *strikeQueue) add(to map[process]map[suspect.Digest]bool, s suspect.Strike, flush func()) {
+// add queues a strike, of this node if isOwn is set, and calls flush after strikeDelay
+// unless a call is scheduled.
+func (q *strikeQueue) add(s suspect.Strike, isOwn bool, flush func()) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	p := process{s.Server, s.Incarnation}
+	to, p := q.others, s.Process()
+	if isOwn {
+		to = q.own
+	}
 	if to[p] == nil {
 		to[p] = map[suspect.Digest]bool{}
 	}
@@ -72,10 +73,10 @@
 
 // strikeMessages returns strikes in the form of messages, one for each process that has
 // ended, or more if it ran very many requests.
-func strikeMessages(strikes map[process]map[suspect.Digest]bool) []digest.Strikes {
+func strikeMessages(strikes queuedStrikes) []digest.Strikes {
 	var out []digest.Strikes
 	for p, requests := range strikes {
-		m := digest.Strikes{Server: string(p.server), Incarnation: p.incarnation}
+		m := digest.Strikes{Server: string(p.Server), Incarnation: p.Incarnation}
 		for request, isStrong := range requests {
 			if isStrong {
 				m.Strong = append(m.Strong, uint64(request))
@@ -95,7 +96,7 @@
 }
 
 // AnnounceStrike tells the other nodes that a backend server has ended under a request.
-func (a *Agent) AnnounceStrike(s suspect.Strike) { a.strikes.add(a.strikes.own, s, a.sendStrikes) }
+func (a *Agent) AnnounceStrike(s suspect.Strike) { a.strikes.add(s, true, a.sendStrikes) }
 
 // applyStrikes records the strikes that a peer announced. In the tree of nodes it forwards
 // those that are new.
@@ -105,7 +106,7 @@
 		for _, request := range requests {
 			s := suspect.Strike{Request: suspect.Digest(request), Server: ring.VM(m.Server), Incarnation: m.Incarnation, IsStrong: isStrong}
 			if _, isNew := a.config.Suspects.Add(s, now); isNew && forwards {
-				a.strikes.add(a.strikes.others, s, a.sendStrikes)
+				a.strikes.add(s, false, a.sendStrikes)
 			}
 		}
 	}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -153,7 +153,7 @@
 	// attempts counts the attempts that reached a server. It is logged, like most of
 	// the fields below.
 	attempts int
-	// isSuspect is set if a server has ended soon after the request had begun to run.
+	// isSuspect is set if the request has a strong strike.
 	isSuspect bool
 	// sentAt is when the last attempt got its connection.
 	sentAt time.Time
--- a/internal/gateway/frontsuspect.go
+++ b/internal/gateway/frontsuspect.go
@@ -29,17 +29,18 @@
 // repeat of it, that it must not be sent to another one. It marks a request with a strong
 // strike, which goes to the replica with the fewest requests.
 func (f *Front) refuseSuspect(req *frontRequest) *ring.Failure {
-	if f.config.Suspects.IsEmpty() {
+	now := time.Now()
+	if f.config.Suspects.IsEmpty(now) {
 		return nil
 	}
-	record := f.config.Suspects.Find(req.digest(), time.Now())
+	record := f.config.Suspects.Find(req.digest(), now)
 	req.isSuspect = record.Strong > 0
 	if !record.IsRefused() {
 		return nil
 	}
 	f.config.Metrics.Count("suspect_refusals", 1, "workspace", string(req.holder.Workspace))
 	f.config.Log.Write(event.SuspectRefused, slog.String("request", req.header.ID), slog.Uint64("digest", uint64(record.Request)),
-		slog.Any("servers", record.Servers), slog.Duration("for", time.Until(record.Until)))
+		slog.Any("servers", record.Servers), slog.Duration("for", record.Until.Sub(now)))
 	return ring.Fail(ring.CodeCrashesServers, "%d servers have ended under this request", len(record.Servers))
 }
 
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -57,15 +57,24 @@
 	return Digest(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
-// Strike is the end of a server's process while a request was at it.
+// Strike is the end of a server's process while a request was at it. Server and
+// Incarnation identify the process.
 type Strike struct {
-	Request Digest
-	Server  ring.VM
-	// Incarnation is that of the process that has ended.
+	Request     Digest
+	Server      ring.VM
 	Incarnation string
 	IsStrong    bool
 }
 
+// Process identifies one start of a server.
+type Process struct {
+	Server      ring.VM
+	Incarnation string
+}
+
+// Process returns the process that has ended.
+func (s Strike) Process() Process { return Process{s.Server, s.Incarnation} }
+
 // Record is what is remembered of one request.
 type Record struct {
 	Request Digest
@@ -85,28 +94,24 @@
 // entry is the state behind a Record. strikes maps each process that has ended to whether
 // its strike was strong.
 type entry struct {
-	strikes map[process]bool
+	strikes map[Process]bool
 	until   time.Time
 }
 
-// process is one start of a server.
-type process struct {
-	server      ring.VM
-	incarnation string
-}
-
 // Registry holds the requests that have strikes. It is safe for concurrent use. The zero
 // value is empty and usable.
 type Registry struct {
 	mu      sync.Mutex
 	entries map[Digest]*entry
+	// lastUntil is when the last of the entries is forgotten.
+	lastUntil time.Time
 }
 
 // IsEmpty reports whether no request has a strike, so that no digest need be computed.
-func (r *Registry) IsEmpty() bool {
+func (r *Registry) IsEmpty(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.entries) == 0
+	return !now.Before(r.lastUntil)
 }
 
 // Add records a strike. It returns the request's record, and whether the strike was new
@@ -121,16 +126,19 @@
 			r.entries = map[Digest]*entry{}
 		}
 		r.makeRoom()
-		e = &entry{strikes: map[process]bool{}}
+		e = &entry{strikes: map[Process]bool{}}
 		r.entries[s.Request] = e
 	}
-	p := process{s.Server, s.Incarnation}
+	p := s.Process()
 	wasStrong, hadStrike := e.strikes[p]
 	if (hadStrike && (wasStrong || !s.IsStrong)) || (!hadStrike && len(e.strikes) >= maxServers) {
 		return e.record(s.Request), false
 	}
 	e.strikes[p] = s.IsStrong
 	e.until = now.Add(retention)
+	if e.until.After(r.lastUntil) {
+		r.lastUntil = e.until
+	}
 	return e.record(s.Request), true
 }
 
@@ -162,6 +170,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.entries)
+	r.lastUntil = time.Time{}
 }
 
 // prune forgets the requests whose retention has ended; mu is held.
@@ -192,7 +201,7 @@
 func (e *entry) record(d Digest) Record {
 	out := Record{Request: d, Until: e.until}
 	for p, isStrong := range e.strikes {
-		out.Servers = append(out.Servers, p.server)
+		out.Servers = append(out.Servers, p.Server)
 		if isStrong {
 			out.Strong++
 		}
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -79,8 +79,21 @@
 		r.Add(Strike{Request: 5, Server: ring.VM(fmt.Sprint(i))}, now)
 	}
 	is.Equal(len(r.Find(5, now).Servers), maxServers)
+	is.True(!r.IsEmpty(now))
 	r.Clear()
-	is.True(r.IsEmpty())
+	is.True(r.IsEmpty(now))
+}
+
+// TestRegistryIsEmptyAfterTheRetention guards against digests that are computed for each
+// request for ever after one strike.
+func TestRegistryIsEmptyAfterTheRetention(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	now := time.Unix(1, 0)
+	is.True(r.IsEmpty(now))
+	r.Add(Strike{Request: 1, Server: "s"}, now)
+	is.True(!r.IsEmpty(now.Add(retention - 1)))
+	is.True(r.IsEmpty(now.Add(retention)))
 }
 
 // TestDigestTellsRequestsApart checks that a digest depends on each part and on the
