--- a/internal/composition/late_order_test.go
+++ b/internal/composition/late_order_test.go
@@ -197,20 +197,29 @@
 	checkNoViolations(t, sim)
 }
 
-// TestMemberIsReplacedSoonAfterAChangeOfTheController guards against repairs that wait
-// for the reports of servers, which lag, and against plans for the part of the members
-// that is free first. The bound is the time of a repair in docs/PLATFORM.md.
-func TestMemberIsReplacedSoonAfterAChangeOfTheController(t *testing.T) {
-	const repairTime = 1300 * time.Millisecond
+// loseMemberAfterAChangeOfTheController kills a member of the open large replica of a
+// simulation with a new composer, which has inspected all members, as for a replica whose
+// streams have stalled. It returns the replica's head.
+func loseMemberAfterAChangeOfTheController(t *testing.T) (*simulation, *Composer, *simServer) {
+	t.Helper()
 	sim, _ := newOpenSimulation(t, 1)
 	c := New(Config{Options: DefaultOptions(), Term: 8})
 	sim.run(c, time.Second)
 	head := sim.openHead("large", "d0")
 	for _, id := range head.members {
-		c.addInspection(id, sim.now) // as for a replica whose streams have stalled
+		c.addInspection(id, sim.now)
 	}
 	sim.performActions(c, c.actions)
 	sim.killServer(head.members[3])
+	return sim, c, head
+}
+
+// TestMemberIsReplacedSoonAfterAChangeOfTheController guards against repairs that wait
+// for the reports of servers, which lag, and against plans for the part of the members
+// that is free first. The bound is the time of a repair in docs/PLATFORM.md.
+func TestMemberIsReplacedSoonAfterAChangeOfTheController(t *testing.T) {
+	const repairTime = 1300 * time.Millisecond
+	sim, c, _ := loseMemberAfterAChangeOfTheController(t)
 	took := runUntil(t, sim, c, 10*time.Second, func() bool { return sim.countOpen("large") == 1 })
 	if took > repairTime {
 		t.Errorf("the repair took %s, want at most %s", took, repairTime)
@@ -222,15 +231,7 @@
 // whose responses to the order to leave come first, with spares that take longer to join
 // in the place of the others.
 func TestPlansWaitForMembersThatAreLeaving(t *testing.T) {
-	sim, _ := newOpenSimulation(t, 1)
-	c := New(Config{Options: DefaultOptions(), Term: 8})
-	sim.run(c, time.Second)
-	head := sim.openHead("large", "d0")
-	for _, id := range head.members {
-		c.addInspection(id, sim.now) // as for a replica whose streams have stalled
-	}
-	sim.performActions(c, c.actions)
-	sim.killServer(head.members[3])
+	sim, c, head := loseMemberAfterAChangeOfTheController(t)
 	var queued []Action
 	isForming := false
 	for range 40 {
