--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -187,8 +188,8 @@
 	cancels []context.CancelFunc
 	// failsFetches makes all fetches of configurations from peers fail while it is set.
 	failsFetches bool
-	// fetchTime is how long a fetch of a configuration from a peer takes.
-	fetchTime time.Duration
+	// fetchTime is how long a fetch of a configuration from a peer takes, in nanoseconds.
+	fetchTime atomic.Int64
 	// decisions counts the controllers' decisions.
 	decisions *decisionCounter
 }
@@ -198,7 +199,7 @@
 type testConfigFetcher struct{ cluster *testCluster }
 
 func (f testConfigFetcher) FetchConfig(ctx context.Context, address string, after int64) (int64, []byte, error) {
-	if !clock.Sleep(ctx, f.cluster.fetchTime) {
+	if !clock.Sleep(ctx, time.Duration(f.cluster.fetchTime.Load())) {
 		return 0, nil, ctx.Err()
 	}
 	for _, a := range f.cluster.agents {
@@ -396,13 +397,13 @@
 			node++
 		}
 		tc.stores[node].SetFault(platform.FaultDown)
-		tc.fetchTime = 700 * time.Millisecond
+		tc.fetchTime.Store(int64(700 * time.Millisecond))
 		tc.writeConfig(2)
 		time.Sleep(bound)
 		if n := tc.agents[node].Routing().Number(); n != 2 {
 			t.Errorf("configuration %d is active after %s, want 2", n, bound)
 		}
-		tc.fetchTime = 0
+		tc.fetchTime.Store(0)
 		time.Sleep(2 * time.Second) // The running fetch ends.
 	})
 }
--- a/internal/agent/slow_test.go
+++ b/internal/agent/slow_test.go
@@ -56,6 +56,13 @@
 	return d.counts[what]
 }
 
+// mostSteps returns the largest number of decision steps that a controller made in 2 s.
+func (d *decisionCounter) mostSteps() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.maxSteps
+}
+
 // busyControl is a control interface of backend servers that answer at once, on a node
 // whose processor completes one call after the other and needs callTime for each.
 type busyControl struct {
@@ -190,7 +197,7 @@
 		control := tc.useBusyControl(time.Millisecond)
 		tc.putBusyServers(is, control, 400)
 		time.Sleep(10 * time.Second)
-		if steps, most := tc.decisions.maxSteps, 250; steps > most { // 100 a second, in 2 s and the rest of a tick
+		if steps, most := tc.decisions.mostSteps(), 250; steps > most { // 100 a second, in 2 s and the rest of a tick
 			t.Errorf("%d decisions within 2 s, want at most %d", steps, most)
 		}
 	})
