--- a/internal/gateway/frontsuspect.go
+++ b/internal/gateway/frontsuspect.go
@@ -62,7 +62,17 @@
 	f.config.Node.AnnounceStrike(strike)
 	f.config.Metrics.Count("suspect_strikes", 1, "workspace", string(req.holder.Workspace))
 	f.config.Log.Write(event.RequestSuspected, slog.String("request", req.header.ID), slog.Uint64("digest", uint64(strike.Request)), slog.String("vm", string(head.ID)),
-		slog.Bool("strong", strike.IsStrong), slog.Any("servers", record.Servers))
+		slog.Bool("strong", strike.IsStrong), slog.Any("servers", record.Servers), slog.Any("parts", req.partDigests()))
+}
+
+// partDigests returns a digest for each part of the prompt, in order. Requests of all
+// callers that have a part in common have that digest in common.
+func (req *frontRequest) partDigests() []suspect.Digest {
+	var out []suspect.Digest
+	for _, part := range req.header.PromptParts {
+		out = append(out, suspect.NewDigest(string(req.service.Name), string(req.header.Model), part))
+	}
+	return out
 }
 
 // isBrokenConnection reports whether an attempt ended because the server's side closed or
--- a/route.go
+++ b/route.go
@@ -152,6 +152,9 @@
 	// Content is what the header says of the request's content. It is the same in a
 	// caller's repeats of the request.
 	Content string
+	// PromptParts are the IDs of the parts of the prompt, in order. Requests may share
+	// parts.
+	PromptParts []string
 	// LastEvent is the last event that the caller received of a stream it resumes.
 	LastEvent string
 }
