gateway: red tests of requests that share a part which ends their servers

Three nodes before twelve replicas, which end 20 to 160 ms after the first event of a request with the part and are back 3 s later; 1 to 40 such requests a second, no two alike, repeated once by their callers, beside 60 sound ones.

--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -34,6 +34,9 @@
 
 func (testDialect) ReadCall(h http.Header) (ring.CallHeader, error) {
 	out := ring.CallHeader{ID: h.Get("T-Id"), Key: h.Get("T-Key"), Model: ring.Model(h.Get("T-Model")), LastEvent: h.Get("Last-Event-Id")}
+	if parts := h.Get("T-Parts"); parts != "" {
+		out.Content, out.PromptParts = parts, strings.Split(parts, ",")
+	}
 	if text := h.Get("T-Patience"); text != "" {
 		wait, err := time.ParseDuration(text)
 		if err != nil {
@@ -158,6 +161,8 @@
 	handle   func(server string, n int, r receivedRequest, c net.Conn)
 	// refused holds the servers that refuse connections.
 	refused map[string]bool
+	// starts counts the servers that have started again.
+	starts int
 	// conns waits for the servers' connections to end.
 	conns sync.WaitGroup
 }
@@ -309,8 +314,19 @@
 	return w, h.serveCall(w, newCall(ctx, method, target, body, header...))
 }
 
+// callNode makes one request to a node of several.
+func (h *frontHarness) callNode(n *partNode, body string, header ...string) (w *httptest.ResponseRecorder, broken bool) {
+	w = httptest.NewRecorder()
+	return w, serveCallAt(n.front, w, newCall(context.Background(), "POST", "/draft/x", body, header...))
+}
+
 // serveCall serves a request and reports whether the response was aborted.
 func (h *frontHarness) serveCall(w http.ResponseWriter, r *http.Request) (broken bool) {
+	return serveCallAt(h.front, w, r)
+}
+
+// serveCallAt is serveCall at a node of several.
+func serveCallAt(f *Front, w http.ResponseWriter, r *http.Request) (broken bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			if p != http.ErrAbortHandler {
@@ -319,7 +335,7 @@
 			broken = true
 		}
 	}()
-	h.front.ServeHTTP(w, r)
+	f.ServeHTTP(w, r)
 	return false
 }
 
