--- a/cmd/eelgrass/script_test.go
+++ b/cmd/eelgrass/script_test.go
@@ -71,6 +71,8 @@
 func (fakeAuthority) SendDigestSoon()                                         {}
 func (fakeAuthority) AnnouncePrefill(ring.Epoch, time.Duration)               {}
 func (fakeAuthority) AnnounceStrike(suspect.Strike)                           {}
+func (fakeAuthority) AnnounceSound([]suspect.Digest, bool)                    {}
+func (fakeAuthority) AnnounceRefusals()                                       {}
 func (fakeAuthority) AnnounceLeaving(ring.Server)                             {}
 func (fakeAuthority) ShareRetryUsage(func(time.Time) retry.Usage) *retry.Pool { return nil }
 
@@ -94,8 +96,9 @@
 	front := gateway.NewFront(gateway.FrontConfig{Node: n, Fleet: f, Log: &event.Log{}, Metrics: metric.New()})
 	suspects := &suspect.Registry{}
 	for _, server := range []ring.VM{"e7", "e8"} {
-		suspects.Add(suspect.Strike{Request: 42, Server: server, Incarnation: "1", IsStrong: true}, time.Now())
+		suspects.Add(suspect.Strike{Subject: 42, Server: server, Incarnation: "1", IsStrong: true}, time.Now())
 	}
+	suspects.Add(suspect.Strike{Subject: 1<<63 | 43, Server: "e7", Incarnation: "1", IsStrong: true}, time.Now().Add(10*time.Millisecond))
 	server := httptest.NewServer(admin.New(admin.Config{Version: "test", System: admin.NewRouted("r1", "a", a, f, front), Metrics: metric.New(), Suspects: suspects}).Handler())
 	e.Defer(server.Close)
 	e.Setenv("ROUTED", strings.TrimPrefix(server.URL, "http://"))
--- a/cmd/eelgrass/suspects.go
+++ b/cmd/eelgrass/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -11,24 +12,27 @@
 	"eelgrassring.dev/internal/admin"
 )
 
-const suspectsHelp = `suspects lists the requests under which backend servers have ended.
+const suspectsHelp = `suspects lists the requests, and the parts of prompts, under which backend servers have ended.
 
-A request is refused when two servers have ended before it had events for half a second
-(strong), or three in all; it is forgotten a minute after the last one. The digest identifies what
-the request asks for and is in the log events 414 and 415. --clear makes this node
-forget all of them; the other nodes keep theirs.
+A request is refused when two servers, which ended before it had events for half a second
+(strong), are the only ones that have ended lately, or three in all. A part that several
+requests share is refused when servers ended three times under it, strong, or five times in
+all, and no response with it was complete. REFUSED names other digests if only requests with all of them
+are refused. A refusal ends ten minutes after the last request that it met. The digests are in
+the log events 414 to 416. --clear makes this node forget everything, and ends the refusals at
+all nodes.
 
 Examples:
 
   eelgrass suspects --node 10.0.0.11:8082
   eelgrass suspects --node 10.0.0.11:8082 --clear`
 
-// suspectsCommand returns the subcommand that lists or clears what a node remembers of
-// requests under which backend servers have ended.
+// suspectsCommand returns the subcommand that lists or clears what a node remembers of what
+// backend servers have ended under.
 func suspectsCommand(o *options) *cobra.Command {
 	clears := false
 	c := &cobra.Command{
-		Use: "suspects", Short: "List the requests under which backend servers have ended", Long: suspectsHelp, Args: cobra.NoArgs,
+		Use: "suspects", Short: "List what backend servers have ended under", Long: suspectsHelp, Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if clears {
 				if err := sendAdmin(c.Context(), http.MethodDelete, o.node, "/suspects", http.StatusNoContent); err != nil {
@@ -42,13 +46,17 @@
 				return err
 			}
 			table := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
-			fmt.Fprintln(table, "DIGEST\tREFUSED\tSTRONG\tFOR\tSERVERS")
+			fmt.Fprintln(table, "DIGEST\tKIND\tREFUSED\tSTRONG\tFOR\tSERVERS")
 			for _, s := range list {
-				fmt.Fprintf(table, "%d\t%s\t%d\t%s\t%s\n", s.Digest, yesNo(s.Refused), s.Strong, time.Duration(s.For), joinNames(s.Servers))
+				refused := yesNo(s.Refused)
+				if len(s.With) > 0 {
+					refused = "with " + strings.Join(s.With, ",")
+				}
+				fmt.Fprintf(table, "%d\t%s\t%s\t%d\t%s\t%s\n", s.Digest, s.Kind, refused, s.Strong, time.Duration(s.For), joinNames(s.Servers))
 			}
 			return table.Flush()
 		},
 	}
-	c.Flags().BoolVar(&clears, "clear", false, "forget the requests on this node")
+	c.Flags().BoolVar(&clears, "clear", false, "forget all suspects, and end the refusals at all nodes")
 	return c
 }
--- a/cmd/eelgrassd/routed.go
+++ b/cmd/eelgrassd/routed.go
@@ -85,7 +85,7 @@
 	return platform.NewStore(platform.StoreConfig{Address: s.StoreAddress, Timeout: storeTimeout, WatchWait: maxWatchWait})
 }
 
-// newSuspects returns the registry of the requests under which backend servers have ended.
+// newSuspects returns the registry of what backend servers have ended under.
 func newSuspects() *suspect.Registry { return &suspect.Registry{} }
 
 // newAgent listens for digests (the state that peers send by datagram) and
@@ -118,7 +118,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	callers := drain.NewServer(&http.Server{Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.DiscardHandler, slog.LevelError)})
 	readyServer := &http.Server{Handler: readyHandler(a), ReadHeaderTimeout: headerTimeout}
-	adminAPI := admin.New(admin.Config{Version: version, System: admin.NewRouted(s.Name, ring.Zone(s.Zone), a, fl, f), Metrics: m, Stop: func() { _ = stop.Shutdown() }, Suspects: suspects})
+	adminAPI := admin.New(admin.Config{Version: version, System: admin.NewRouted(s.Name, ring.Zone(s.Zone), a, fl, f), Metrics: m, Stop: func() { _ = stop.Shutdown() }, Suspects: suspects, AnnounceSound: a.AnnounceSound})
 	adminServer := &http.Server{Handler: adminAPI.Handler(), ReadHeaderTimeout: headerTimeout}
 	peers := peer.NewServer()
 	peer.RegisterConfigSource(peers, a)
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -36,13 +36,15 @@
 }
 
 // Config configures a Server. Stop starts a graceful shutdown of the node. Suspects holds
-// the requests under which backend servers have ended; it may be nil.
+// what backend servers have ended under; it may be nil. AnnounceSound tells the other nodes of
+// subjects that are not refused any more; it may be nil.
 type Config struct {
-	Version  string
-	System   System
-	Metrics  *metric.Registry
-	Stop     func()
-	Suspects *suspect.Registry
+	Version       string
+	System        System
+	Metrics       *metric.Registry
+	Stop          func()
+	Suspects      *suspect.Registry
+	AnnounceSound func(subjects []suspect.Digest, isComplete bool)
 }
 
 // Server serves the operators' interface of one node.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -171,7 +171,7 @@
 	Timing        Timing
 	Composition   composition.Options
 	Revocation    time.Duration
-	// Suspects receives the strikes that peers announce; nil means a registry of its own.
+	// Suspects receives what peers announce of suspects; nil means a registry of its own.
 	Suspects *suspect.Registry
 }
 
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -201,9 +201,11 @@
 // sendDigests sends this node's digest to every peer and returns the number of bytes
 // sent.
 func (a *Agent) sendDigests() int {
-	message := digest.Message{Digest: a.buildDigest(time.Now())}
+	now := time.Now()
+	message := digest.Message{Digest: a.buildDigest(now)}
+	addresses := a.peerAddresses()
 	sent := 0
-	for _, address := range a.peerAddresses() {
+	for _, address := range addresses {
 		sent += a.send(address, message)
 	}
 	return sent
@@ -274,6 +276,10 @@
 		a.answerEntriesRequest(from, m.EntriesRequest)
 	case m.Strikes != nil:
 		a.applyStrikes(*m.Strikes)
+	case m.Sound != nil:
+		a.applySound(*m.Sound)
+	case len(m.Refusals) > 0:
+		a.applyRefusals(from, m.Refusals)
 	case m.BucketListing != nil:
 		a.applyBucketListing(m.BucketListing)
 	case m.PrefillNotice != nil:
--- a/internal/agent/strikes.go
+++ b/internal/agent/strikes.go
@@ -13,7 +13,7 @@
 
 const (
 	// strikeDelay is how long strikes wait for others of the same server, of which each
-	// request that it ran gives one.
+	// request that it ran gives several.
 	strikeDelay = 10 * time.Millisecond
 	// strikesPerDatagram is the number of strikes of one server that fit into a datagram.
 	strikesPerDatagram = 100
@@ -23,8 +23,8 @@
 	strikeBurst          = 40_000
 )
 
-// queuedStrikes maps a process that has ended to the requests that were at it, and these
-// to whether their strike is strong.
+// queuedStrikes maps a process that has ended to the subjects that were at it, and these to
+// whether their strike is strong.
 type queuedStrikes map[suspect.Process]map[suspect.Digest]bool
 
 // strikeQueue holds strikes that are about to be sent.
@@ -53,7 +53,7 @@
 	if to[p] == nil {
 		to[p] = map[suspect.Digest]bool{}
 	}
-	to[p][s.Request] = s.IsStrong
+	to[p][s.Subject] = s.IsStrong || to[p][s.Subject]
 	if !q.isScheduled {
 		q.isScheduled = true
 		time.AfterFunc(strikeDelay, flush)
@@ -72,16 +72,16 @@
 }
 
 // strikeMessages returns strikes in the form of messages, one for each process that has
-// ended, or more if it ran very many requests.
+// ended, or more if very many subjects were at it.
 func strikeMessages(strikes queuedStrikes) []digest.Strikes {
 	var out []digest.Strikes
-	for p, requests := range strikes {
+	for p, subjects := range strikes {
 		m := digest.Strikes{Server: string(p.Server), Incarnation: p.Incarnation}
-		for request, isStrong := range requests {
+		for subject, isStrong := range subjects {
 			if isStrong {
-				m.Strong = append(m.Strong, uint64(request))
+				m.Strong = append(m.Strong, uint64(subject))
 			} else {
-				m.Weak = append(m.Weak, uint64(request))
+				m.Weak = append(m.Weak, uint64(subject))
 			}
 			if len(m.Strong)+len(m.Weak) == strikesPerDatagram {
 				out = append(out, m)
@@ -95,16 +95,16 @@
 	return out
 }
 
-// AnnounceStrike tells the other nodes that a backend server has ended under a request.
+// AnnounceStrike tells the other nodes that a backend server has ended under a subject.
 func (a *Agent) AnnounceStrike(s suspect.Strike) { a.strikes.add(s, true, a.sendStrikes) }
 
 // applyStrikes records the strikes that a peer announced. In the tree of nodes it forwards
 // those that are new.
 func (a *Agent) applyStrikes(m digest.Strikes) {
 	now, forwards := time.Now(), a.usesTree()
-	apply := func(requests []uint64, isStrong bool) {
-		for _, request := range requests {
-			s := suspect.Strike{Request: suspect.Digest(request), Server: ring.VM(m.Server), Incarnation: m.Incarnation, IsStrong: isStrong}
+	apply := func(subjects []uint64, isStrong bool) {
+		for _, subject := range subjects {
+			s := suspect.Strike{Subject: suspect.Digest(subject), Server: ring.VM(m.Server), Incarnation: m.Incarnation, IsStrong: isStrong}
 			if _, isNew := a.config.Suspects.Add(s, now); isNew && forwards {
 				a.strikes.add(s, false, a.sendStrikes)
 			}
@@ -114,34 +114,44 @@
 	apply(m.Weak, false)
 }
 
-// sendStrikes sends the queued strikes. With few nodes each sends its own to all others.
-// In the tree of nodes they go to the root and to this node's children, and those of
-// peers to the children.
+// sendStrikes sends the queued strikes.
 func (a *Agent) sendStrikes() {
 	own, others := a.strikes.take()
+	for _, m := range own {
+		a.spread(digest.Message{Strikes: &m}, true)
+	}
+	for _, m := range others {
+		a.spread(digest.Message{Strikes: &m}, false)
+	}
+}
+
+// spread sends a message about suspects to the other nodes, within the rate limit. With few
+// nodes each sends its own to all others. In the tree of nodes they go to the root and to this
+// node's children, and those of peers to the children.
+func (a *Agent) spread(m digest.Message, isOwn bool) {
 	if !a.usesTree() {
-		a.sendStrikesTo(a.peerAddresses(), own)
+		if isOwn {
+			a.sendLimited(a.peerAddresses(), m)
+		}
 		return
 	}
 	a.mu.Lock()
-	children := a.regularChildren()
+	addresses := a.regularChildren()
 	root, known := a.peers[a.controller]
 	a.mu.Unlock()
-	if known && !a.isController.Load() {
-		a.sendStrikesTo([]string{root.address}, own)
+	if known && isOwn && !a.isController.Load() {
+		addresses = append([]string{root.address}, addresses...)
 	}
-	a.sendStrikesTo(children, append(own, others...))
+	a.sendLimited(addresses, m)
 }
 
-// sendStrikesTo sends messages to nodes, within the rate limit.
-func (a *Agent) sendStrikesTo(addresses []string, messages []digest.Strikes) {
+// sendLimited sends a message about suspects to nodes, within the rate limit.
+func (a *Agent) sendLimited(addresses []string, m digest.Message) {
 	now := time.Now()
-	for _, m := range messages {
-		for _, address := range addresses {
-			if a.strikes.limiter.TokensAt(now) <= 0 {
-				return
-			}
-			a.strikes.limiter.ReserveN(now, a.send(address, digest.Message{Strikes: &m}))
+	for _, address := range addresses {
+		if a.strikes.limiter.TokensAt(now) <= 0 {
+			return
 		}
+		a.strikes.limiter.ReserveN(now, a.send(address, m))
 	}
 }
--- a/internal/agent/strikes_test.go
+++ b/internal/agent/strikes_test.go
@@ -19,8 +19,8 @@
 			tc.writeConfig(1)
 			time.Sleep(10 * time.Second)
 			sender := tc.agents[nodes-1]
-			sender.AnnounceStrike(suspect.Strike{Request: 7, Server: "s1", Incarnation: "1", IsStrong: true})
-			sender.AnnounceStrike(suspect.Strike{Request: 7, Server: "s2", Incarnation: "1", IsStrong: true})
+			sender.AnnounceStrike(suspect.Strike{Subject: 7, Server: "s1", Incarnation: "1", IsStrong: true})
+			sender.AnnounceStrike(suspect.Strike{Subject: 7, Server: "s2", Incarnation: "1", IsStrong: true})
 			time.Sleep(100 * time.Millisecond)
 			missing := 0
 			for _, a := range tc.agents {
@@ -44,7 +44,7 @@
 		for server := range 6 {
 			for request := range requests {
 				tc.agents[(7*request)%len(tc.agents)].AnnounceStrike(suspect.Strike{
-					Request: suspect.Digest(request), Server: ring.VM(fmt.Sprint("s", server)), Incarnation: "1", IsStrong: true,
+					Subject: suspect.Digest(request), Server: ring.VM(fmt.Sprint("s", server)), Incarnation: "1", IsStrong: true,
 				})
 			}
 			time.Sleep(200 * time.Millisecond)
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -169,7 +169,7 @@
 	State       string
 }
 
-// Strikes announces that a backend server has ended under the requests with the given
+// Strikes announces that a backend server has ended under the subjects with the given
 // digests; see package suspect.
 type Strikes struct {
 	_           struct{} `cbor:",toarray"`
@@ -179,6 +179,26 @@
 	Weak        []uint64
 }
 
+// Sound announces that responses to requests with these subjects were complete or, if
+// Complete is not set, have gone on for a while.
+type Sound struct {
+	_        struct{} `cbor:",toarray"`
+	Subjects []uint64
+	Complete bool
+}
+
+// Refusal is a decision to refuse requests with all of the subjects; see package
+// suspect. SinceMillis and DecidedMillis are the ages of its first strike and of the
+// decision, ForMillis is how long it still holds, and Late is as in suspect.Refusal.
+type Refusal struct {
+	_             struct{} `cbor:",toarray"`
+	Subjects      []uint64
+	SinceMillis   int64
+	DecidedMillis int64
+	ForMillis     int64
+	Late          bool
+}
+
 // Message is the content of one datagram; exactly one field is set.
 type Message struct {
 	Digest         *Digest         `cbor:"1,keyasint,omitempty"`
@@ -191,6 +211,10 @@
 	EntriesRequest *EntriesRequest `cbor:"8,keyasint,omitempty"`
 	BucketListing  *BucketListing  `cbor:"9,keyasint,omitempty"`
 	Strikes        *Strikes        `cbor:"10,keyasint,omitempty"`
+	Sound          *Sound          `cbor:"11,keyasint,omitempty"`
+	// Refusals holds the sender's refusals. It is sent with each digest, report and summary
+	// while there are any, so that a node that has just started learns of them.
+	Refusals []Refusal `cbor:"12,keyasint,omitempty"`
 }
 
 // Transport sends and receives messages between nodes over a UDP socket.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -57,6 +57,7 @@
 	ControllerLoad           = Kind{413, "controller load", slog.LevelInfo}          // how long decisions, calls and their results waited
 	RequestSuspected         = Kind{414, "request suspected", slog.LevelWarn}        // a backend server has ended under a request
 	SuspectRefused           = Kind{415, "suspect refused", slog.LevelWarn}          // too many backend servers have ended under the request
+	RefusalDecided           = Kind{416, "refusal decided", slog.LevelWarn}          // requests with the subjects are refused
 	RequestFailed            = Kind{501, "request failed", slog.LevelWarn}
 	AttemptFailed            = Kind{502, "attempt failed", slog.LevelInfo}
 	ClaimOutcomeNotRecorded  = Kind{503, "claim outcome not recorded", slog.LevelError} // the outcome of a non-idempotent request could not be stored
@@ -74,7 +75,7 @@
 		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored,
 		PeerFound, PeerLost, ControllerLeaseAcquired, ControllerLeaseLost, MembershipLeaseLost, PeerRecordInvalid, DigestNotSent, ConfigurationFetchFailed,
 		GroupRecordWritten, GroupRecordRejected, OrderSent, OrderFailed, OrderFenced, VMLeaving, CapacityChanged, GroupRecovered,
-		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused,
+		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused, RefusalDecided,
 		RequestFailed, AttemptFailed, ClaimOutcomeNotRecorded, StreamReplayed, ResponseMismatch,
 		RequestDone, StreamResumed, LinesDropped,
 	}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -62,8 +62,13 @@
 	SendDigestSoon()
 	// AnnounceLeaving tells the peers that a backend server is about to stop.
 	AnnounceLeaving(s ring.Server)
-	// AnnounceStrike tells the peers that a server has ended under a request.
+	// AnnounceStrike tells the peers that a server has ended under a subject.
 	AnnounceStrike(s suspect.Strike)
+	// AnnounceSound tells the peers that responses to requests with suspected subjects were
+	// complete, or have gone on for a while.
+	AnnounceSound(subjects []suspect.Digest, isComplete bool)
+	// AnnounceRefusals tells the peers the refusals in the registry of suspects.
+	AnnounceRefusals()
 	// AnnouncePrefill tells the peers that this node sent a replica a prompt with the
 	// given prefill time.
 	AnnouncePrefill(e ring.Epoch, prefill time.Duration)
@@ -82,8 +87,7 @@
 	// RetryRatio retries per request, plus RetryBurst retries per retryWindow.
 	RetryRatio float64
 	RetryBurst float64
-	// Suspects holds the requests under which servers have ended, as known to this node
-	// and its peers. Nil means a registry of its own.
+	// Suspects holds what servers have ended under, as known to this node and its peers. Nil means a registry of its own.
 	Suspects *suspect.Registry
 	// Dial connects to servers; nil means TCP.
 	Dial Dialer
@@ -97,6 +101,8 @@
 	budgets  *retryBudgets
 	servers  *serverStats
 	selector *replicaSelector
+	// suspicion holds the attempts that may have to be given up.
+	suspicion *suspicion
 	// stopping ends when AnswerPending is called; stop ends it.
 	stopping context.Context
 	stop     context.CancelFunc
@@ -114,15 +120,17 @@
 		c.Suspects = &suspect.Registry{}
 	}
 	stopping, stop := context.WithCancel(context.Background())
-	return &Front{
-		config:   c,
-		stopping: stopping,
-		stop:     stop,
-		budgets:  newRetryBudgets(retry.Config{Ratio: c.RetryRatio, Burst: c.RetryBurst, Window: retryWindow}, c.Node),
-		servers:  newServerStats(),
-		selector: newReplicaSelector(c.Fleet, c.Node),
-		bodies:   newBodyMemory(maxRoutedBody, maxRoutedBodies),
+	f := &Front{
+		config:    c,
+		stopping:  stopping,
+		stop:      stop,
+		budgets:   newRetryBudgets(retry.Config{Ratio: c.RetryRatio, Burst: c.RetryBurst, Window: retryWindow}, c.Node),
+		servers:   newServerStats(),
+		suspicion: newSuspicion(),
+		bodies:    newBodyMemory(maxRoutedBody, maxRoutedBodies),
 	}
+	f.selector = newReplicaSelector(c.Fleet, c.Node, f.mayTry)
+	return f
 }
 
 // AnswerPending ends the requests whose response has not begun, and all later ones, with
@@ -153,8 +161,12 @@
 	// attempts counts the attempts that reached a server. It is logged, like most of
 	// the fields below.
 	attempts int
-	// isSuspect is set if the request has a strong strike.
-	isSuspect bool
+	// subjects are those of subjectsOf, once they are known.
+	subjects []suspect.Digest
+	// isIsolated is set if the request goes where all nodes send such requests; see
+	// suspect.Judgement. trial is the key of the subjects that it tries, or "".
+	isIsolated bool
+	trial      string
 	// sentAt is when the last attempt got its connection.
 	sentAt time.Time
 	// maxEventGap is the longest time between two events of the stream.
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -134,6 +134,16 @@
 	}
 }
 
+func (n *testNode) AnnounceSound(subjects []suspect.Digest, isComplete bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, peer := range n.peers {
+		peer.Acquit(subjects, isComplete, time.Now())
+	}
+}
+
+func (n *testNode) AnnounceRefusals() {}
+
 func (n *testNode) AnnounceLeaving(s ring.Server) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/gateway/frontpart_test.go
+++ b/internal/gateway/frontpart_test.go
@@ -16,6 +16,7 @@
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/metric"
+	"eelgrassring.dev/internal/route"
 	"eelgrassring.dev/internal/suspect"
 )
 
@@ -116,10 +117,25 @@
 	}
 }
 
+func (n *partNode) NodeCount() int { return 1 + len(n.others) }
+
 func (n *partNode) AnnounceStrike(s suspect.Strike) {
 	n.tell(func(to *partNode) { to.known.Add(s, time.Now()) })
 }
 
+func (n *partNode) AnnounceSound(subjects []suspect.Digest, isComplete bool) {
+	n.tell(func(to *partNode) { to.known.Acquit(subjects, isComplete, time.Now()) })
+}
+
+func (n *partNode) AnnounceRefusals() {
+	refusals, _ := n.known.Decide(time.Now())
+	n.tell(func(to *partNode) {
+		for _, r := range refusals {
+			to.known.Adopt(r, time.Now())
+		}
+	})
+}
+
 const (
 	partServers = 12
 	// partRestart is how long a server is away after its end.
@@ -134,6 +150,9 @@
 	out := &partOutcome{}
 	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
 		random := rand.New(rand.NewPCG(d.seed, 31))
+		routes := testRoutes("k")
+		routes.Services[1].Slots = 16
+		h.node.set(route.NewTable(routes), true)
 		for i := 3; i <= partServers; i++ {
 			h.putPartServer(fmt.Sprint("e", i), "1", i)
 		}
--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -38,6 +38,7 @@
 func (f *Front) serveReplica(ctx context.Context, w http.ResponseWriter, r *http.Request, req *frontRequest) *ring.Failure {
 	out := &replicaRelay{front: f, w: w, request: req, lastEventID: req.header.LastEvent, tried: map[ring.Group]bool{}}
 	defer out.releaseNext()
+	defer f.endTrial(req)
 	var lastFailure *ring.Failure
 	for req.attempts < req.route.MaxAttempts {
 		if failure := f.recheck(req); failure != nil {
@@ -47,6 +48,9 @@
 			return out.finish(failure)
 		}
 		chosen, failure := out.nextReplica(ctx)
+		if failure != nil && failure.Code == ring.CodeCrashesServers {
+			return out.finish(failure)
+		}
 		if failure != nil {
 			if lastFailure == nil || req.attempts == 0 {
 				lastFailure = failure
@@ -62,6 +66,7 @@
 		}
 		f.logFailedAttempt(req, chosen.Head, err)
 		f.recordCrash(ctx, req, chosen.Head, err, out.begunAt)
+		f.endTrial(req)
 		if r.Context().Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -80,6 +85,9 @@
 				slog.String("after", out.lastEventID), slog.Any("error", err))
 		}
 	}
+	if failure := f.refuseSuspect(req); failure != nil {
+		lastFailure = failure
+	}
 	return out.finish(lastFailure)
 }
 
@@ -113,6 +121,9 @@
 	begunAt     time.Time
 	// writeDeadline is the current deadline of writes to the caller.
 	writeDeadline time.Time
+	// flight is the current attempt, and soundAt when it is next recorded as sound.
+	flight  *flight
+	soundAt time.Time
 	// tried holds the groups that the request was sent to. next is the replica that was
 	// reserved for the next attempt, or nil.
 	tried map[ring.Group]bool
@@ -148,6 +159,11 @@
 	if probe.deadline.Sub(now) < resumeMargin || f.recheck(probe) != nil || !f.budgets.allows(probe.service) {
 		return false
 	}
+	mayTry, failure := f.mayTry(probe)
+	defer f.endTrial(probe)
+	if !mayTry || failure != nil {
+		return false
+	}
 	c, _, ok := f.selector.tryAcquire(probe, o.tried, f.selector.prefillTime(probe), rank, now)
 	if !ok {
 		return false
@@ -218,6 +234,11 @@
 	streaming := false
 	o.begunAt = time.Time{}
 	defer func() { f.config.Fleet.EndRequest(chosen.Group, streaming) }()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	o.flight = &flight{content: contentOf(req), cancel: cancel}
+	f.suspicion.begin(o.flight)
+	defer f.suspicion.end(o.flight)
 	ctx, watch := o.watch(ctx, chosen.Group, isLast)
 	defer watch.close()
 	x, attemptErr := f.sendAttempt(ctx, req, chosen.Head, o.lastEventID, req.deadline)
@@ -228,6 +249,10 @@
 		if watch.stop() {
 			attemptErr.err = errSilent
 		}
+		if errors.Is(context.Cause(ctx), errRefusedMeanwhile) {
+			attemptErr.err = errRefusedMeanwhile
+			return false, attemptErr
+		}
 		f.config.Fleet.MarkFailed(chosen.Group, time.Now())
 		return false, attemptErr
 	}
@@ -269,6 +294,9 @@
 		return false, &attemptError{stage: stageSent, err: err}
 	}
 	o.request.timeToFirstEvent = time.Since(o.request.receivedAt)
+	if x.response.StatusCode < http.StatusBadRequest {
+		o.front.recordSound(o.request, true)
+	}
 	o.front.writeResponse(o.w, o.request, x, body)
 	return true, nil
 }
@@ -284,6 +312,9 @@
 				o.writeHeader(x)
 			}
 			o.extendWriteDeadline(time.Now()) // net/http writes the end of the stream.
+			if *streaming {
+				o.front.recordSound(o.request, true)
+			}
 			return nil
 		}
 		if err != nil {
@@ -292,9 +323,14 @@
 		now := time.Now()
 		o.front.config.Fleet.ObserveEvent(group, !*streaming, now)
 		if !*streaming {
-			o.begunAt = now
+			o.begunAt, o.soundAt = now, now.Add(strongStrikeTime)
+			o.flight.hasEvents.Store(true)
 		}
 		*streaming = true
+		if now.After(o.soundAt) {
+			o.soundAt = now.Add(soundInterval)
+			o.front.recordSound(o.request, false)
+		}
 		if o.isDuplicate(e) {
 			continue
 		}
--- a/internal/gateway/frontsuspect.go
+++ b/internal/gateway/frontsuspect.go
@@ -1,78 +1,281 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/fleet"
+	"eelgrassring.dev/internal/routing"
 	"eelgrassring.dev/internal/suspect"
 )
 
-// strongStrikeTime is how long a request may have had events when its server ends for the
-// strike to be strong. A server may end before the first event of the request under which
-// it ends reaches this node.
-const strongStrikeTime = 500 * time.Millisecond
+const (
+	// strongStrikeTime is how long a request may have had events when its server ends for the
+	// strike to be strong. A server may end before the first event of the request under which
+	// it ends reaches this node.
+	strongStrikeTime = 500 * time.Millisecond
+	// soundInterval is how often a stream that has had events for strongStrikeTime is recorded
+	// as sound. A server would have ended under it.
+	soundInterval = 100 * time.Millisecond
+)
+
+// isolationKey is the key of the trial of all requests that are isolated and that no refusal
+// names. A node sends one of them at a time.
+const isolationKey = "isolated"
+
+// errRefusedMeanwhile is the error of an attempt that was given up because its request has been
+// refused since it was sent.
+var errRefusedMeanwhile = errors.New("the request is refused since it was sent")
+
+// requestContent is what a request asks for, from which its subjects are made.
+type requestContent struct {
+	service        ring.Service
+	model          ring.Model
+	key, route     string
+	method, target string
+	content        string
+	body           []byte
+	parts          []string
+}
+
+// contentOf returns what the request asks for.
+func contentOf(req *frontRequest) requestContent {
+	return requestContent{
+		service: req.service.Name, model: req.header.Model, key: req.header.Key, route: req.route.Name,
+		method: req.method, target: req.target, content: req.header.Content, body: req.body, parts: req.header.PromptParts,
+	}
+}
+
+// subjects returns the digest of the request, keyed by its caller's key, and then those of the
+// parts of its prompt, which are the same for all callers.
+func (c requestContent) subjects() []suspect.Digest {
+	out := []suspect.Digest{suspect.NewDigest(c.key, c.route, c.method, c.target, string(c.model), c.content, string(c.body))}
+	for _, part := range c.parts {
+		if d := suspect.NewPartDigest(string(c.service), string(c.model), part); !slices.Contains(out, d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// subjectsOf returns the subjects of a request.
+func (req *frontRequest) subjectsOf() []suspect.Digest {
+	if req.subjects == nil {
+		req.subjects = contentOf(req).subjects()
+	}
+	return req.subjects
+}
+
+// flight is an attempt in progress.
+type flight struct {
+	content requestContent
+	// hasEvents is set once the server has begun its response.
+	hasEvents atomic.Bool
+	cancel    context.CancelCauseFunc
+}
 
-// digest returns the digest of what the request asks for, keyed by the caller's key.
-func (req *frontRequest) digest() suspect.Digest {
-	return suspect.NewDigest(req.header.Key, req.route.Name, req.method, req.target, string(req.header.Model), req.header.Content, string(req.body))
+// suspicion applies what the registry of suspects says to the requests of a Front.
+type suspicion struct {
+	mu sync.Mutex
+	// flights are the attempts in progress, and trials those subjects that one of them tries.
+	flights map[*flight]struct{}
+	trials  map[string]bool
+	// decisions is the number of the registry's decisions that were applied, and logged
+	// are the refusals that were written to the log.
+	decisions int
+	logged    map[string]bool
+	window    suspect.Window
 }
 
-// refuseSuspect returns a failure if so many servers have ended under the request, or a
-// repeat of it, that it must not be sent to another one. It marks a request with a strong
-// strike, which goes to the replica with the fewest requests.
+func newSuspicion() *suspicion {
+	return &suspicion{
+		flights: map[*flight]struct{}{}, trials: map[string]bool{}, logged: map[string]bool{},
+		window: suspect.Window{Start: time.Now().Add(-rand.N(time.Minute))},
+	}
+}
+
+// begin adds an attempt.
+func (s *suspicion) begin(fl *flight) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.flights[fl] = struct{}{}
+}
+
+// end removes an attempt.
+func (s *suspicion) end(fl *flight) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.flights, fl)
+}
+
+// beginTrial reports whether the subjects may be tried now, and if so marks them.
+func (s *suspicion) beginTrial(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.trials[key] {
+		return false
+	}
+	s.trials[key] = true
+	return true
+}
+
+// endTrial removes the mark of beginTrial.
+func (s *suspicion) endTrial(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.trials, key)
+}
+
+// subjectsKey returns a key for subjects.
+func subjectsKey(subjects []suspect.Digest) string {
+	var b strings.Builder
+	for _, d := range subjects {
+		fmt.Fprintf(&b, "%x,", uint64(d))
+	}
+	return b.String()
+}
+
+// mayTry reports whether the request may be sent to a server now. It returns a failure if the
+// request is refused because servers have ended under it, a repeat of it, or a part of its
+// prompt. It marks a request that must go where all nodes send such requests.
+func (f *Front) mayTry(req *frontRequest) (bool, *ring.Failure) {
+	now := time.Now()
+	if f.config.Suspects.IsEmpty(now) {
+		req.isIsolated = false
+		return true, nil
+	}
+	judgement := f.config.Suspects.Judge(req.subjectsOf(), now)
+	f.applyDecisions()
+	req.isIsolated = judgement.IsIsolated
+	if refusal := judgement.Refusal; refusal != nil {
+		f.endTrial(req)
+		f.config.Metrics.Count("suspect_refusals", 1, "workspace", string(req.holder.Workspace))
+		f.config.Log.Write(event.SuspectRefused, slog.String("request", req.header.ID), slog.Uint64("digest", uint64(req.subjectsOf()[0])),
+			slog.Any("subjects", refusal.Subjects), slog.Any("servers", refusal.Servers), slog.Duration("for", refusal.Until.Sub(now)))
+		return false, ring.Fail(ring.CodeCrashesServers, "servers have ended under this request or a part of its prompt")
+	}
+	key := subjectsKey(judgement.Trial)
+	if key == "" && judgement.IsIsolated {
+		key = isolationKey
+	}
+	if key != req.trial {
+		f.endTrial(req)
+		if key != "" && !f.suspicion.beginTrial(key) {
+			return false, nil
+		}
+		req.trial = key
+	}
+	return !judgement.IsRare || f.suspicion.window.IsOpen(now, f.config.Node.NodeCount()), nil
+}
+
+// endTrial ends the request's trial, if it is one.
+func (f *Front) endTrial(req *frontRequest) {
+	if req.trial != "" {
+		f.suspicion.endTrial(req.trial)
+		req.trial = ""
+	}
+}
+
+// refuseSuspect returns a failure if the request is refused.
 func (f *Front) refuseSuspect(req *frontRequest) *ring.Failure {
+	_, failure := f.mayTry(req)
+	return failure
+}
+
+// applyDecisions logs refusals that are new, tells the peers of them, and gives up the
+// attempts that they hold for and whose response has not begun.
+func (f *Front) applyDecisions() {
+	refusals, decisions := f.config.Suspects.Decide(time.Now())
+	s := f.suspicion
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.decisions == decisions {
+		return
+	}
+	s.decisions = decisions
+	isNew, isOwn := false, false
+	known := map[string]bool{}
+	for _, r := range refusals {
+		key := subjectsKey(r.Subjects)
+		known[key] = true
+		if !s.logged[key] {
+			isNew, isOwn = true, isOwn || !r.IsAdopted
+			f.config.Log.Write(event.RefusalDecided, slog.Any("subjects", r.Subjects), slog.Any("servers", r.Servers), slog.Duration("after", r.DecidedAt.Sub(r.Since)), slog.Bool("adopted", r.IsAdopted))
+		}
+	}
+	s.logged = known
+	if !isNew {
+		return
+	}
+	if isOwn {
+		f.config.Node.AnnounceRefusals()
+	}
+	for fl := range s.flights {
+		if fl.hasEvents.Load() {
+			continue
+		}
+		subjects := fl.content.subjects()
+		if slices.ContainsFunc(refusals, func(r suspect.Refusal) bool { return r.Covers(subjects) }) {
+			fl.cancel(errRefusedMeanwhile)
+		}
+	}
+}
+
+// recordSound records that the response to a request was complete, or has gone on for
+// strongStrikeTime, without an end of its server.
+func (f *Front) recordSound(req *frontRequest, isComplete bool) {
 	now := time.Now()
 	if f.config.Suspects.IsEmpty(now) {
-		return nil
+		return
 	}
-	record := f.config.Suspects.Find(req.digest(), now)
-	req.isSuspect = record.Strong > 0
-	if !record.IsRefused() {
-		return nil
+	if sound := f.config.Suspects.Acquit(req.subjectsOf(), isComplete, now); len(sound) > 0 {
+		f.config.Node.AnnounceSound(sound, isComplete)
+		f.applyDecisions()
 	}
-	f.config.Metrics.Count("suspect_refusals", 1, "workspace", string(req.holder.Workspace))
-	f.config.Log.Write(event.SuspectRefused, slog.String("request", req.header.ID), slog.Uint64("digest", uint64(record.Request)),
-		slog.Any("servers", record.Servers), slog.Duration("for", record.Until.Sub(now)))
-	return ring.Fail(ring.CodeCrashesServers, "%d servers have ended under this request", len(record.Servers))
 }
 
-// recordCrash records a strike against the request if its server has ended while it was
-// there, and tells the peers. begunAt is the time of the attempt's first event, or zero.
+// recordCrash records strikes against the request and the parts of its prompt if its server has
+// ended while it was there, and tells the peers. begunAt is the time of the attempt's first
+// event, or zero.
 func (f *Front) recordCrash(ctx context.Context, req *frontRequest, head ring.Server, err *attemptError, begunAt time.Time) {
-	now := time.Now()
 	if !isBrokenConnection(err) || !f.hasEnded(ctx, head) {
 		return
 	}
-	strike := suspect.Strike{
-		Request: req.digest(), Server: head.ID, Incarnation: head.Incarnation,
-		IsStrong: begunAt.IsZero() || now.Sub(begunAt) < strongStrikeTime,
+	now := time.Now()
+	isStrong := begunAt.IsZero() || now.Sub(begunAt) < strongStrikeTime
+	subjects := req.subjectsOf()
+	var own suspect.Record
+	isNew := false
+	for i, d := range subjects {
+		strike := suspect.Strike{Subject: d, Server: head.ID, Incarnation: head.Incarnation, IsStrong: isStrong}
+		record, isStrikeNew := f.config.Suspects.Add(strike, now)
+		if isStrikeNew {
+			f.config.Node.AnnounceStrike(strike)
+		}
+		if i == 0 {
+			own, isNew = record, isStrikeNew
+		}
 	}
-	record, isNew := f.config.Suspects.Add(strike, now)
+	time.AfterFunc(suspect.SettleTime, f.applyDecisions)
 	if !isNew {
 		return
 	}
-	f.config.Node.AnnounceStrike(strike)
 	f.config.Metrics.Count("suspect_strikes", 1, "workspace", string(req.holder.Workspace))
-	f.config.Log.Write(event.RequestSuspected, slog.String("request", req.header.ID), slog.Uint64("digest", uint64(strike.Request)), slog.String("vm", string(head.ID)),
-		slog.Bool("strong", strike.IsStrong), slog.Any("servers", record.Servers), slog.Any("parts", req.partDigests()))
-}
-
-// partDigests returns a digest for each part of the prompt, in order. Requests of all
-// callers that have a part in common have that digest in common.
-func (req *frontRequest) partDigests() []suspect.Digest {
-	var out []suspect.Digest
-	for _, part := range req.header.PromptParts {
-		out = append(out, suspect.NewDigest(string(req.service.Name), string(req.header.Model), part))
-	}
-	return out
+	f.config.Log.Write(event.RequestSuspected, slog.String("request", req.header.ID), slog.Uint64("digest", uint64(own.Subject)), slog.String("vm", string(head.ID)),
+		slog.Bool("strong", isStrong), slog.Any("servers", own.Servers), slog.Any("parts", subjects[1:]))
 }
 
 // isBrokenConnection reports whether an attempt ended because the server's side closed or
@@ -100,15 +303,14 @@
 	return false
 }
 
-// chooseLeastLoaded returns the candidate with the fewest requests within the limit, or
-// false if there is none.
-func chooseLeastLoaded(candidates []fleet.Candidate, limit replicaLimit) (fleet.Candidate, bool) {
-	var best fleet.Candidate
-	found := false
-	for _, c := range candidates {
-		if c.Load < limit.maxLoad && c.Prefill <= limit.maxPrefill && (!found || c.Load < best.Load) {
-			best, found = c, true
-		}
+// chooseIsolated returns the candidate to which all nodes send the requests that are isolated,
+// or false if there is none or it is not within the limit.
+func chooseIsolated(candidates []fleet.Candidate, limit replicaLimit) (fleet.Candidate, bool) {
+	if len(candidates) == 0 {
+		return fleet.Candidate{}, false
 	}
-	return best, found
+	chosen := slices.MaxFunc(candidates, func(a, b fleet.Candidate) int {
+		return cmp.Compare(routing.Hash(string(a.Replica.Group)), routing.Hash(string(b.Replica.Group)))
+	})
+	return chosen, chosen.Load < limit.maxLoad && chosen.Prefill <= limit.maxPrefill
 }
--- a/internal/gateway/frontsuspect_test.go
+++ b/internal/gateway/frontsuspect_test.go
@@ -107,7 +107,7 @@
 		is.Equal(h.endedServers(), 2)
 		w, _ := h.call("POST", "/draft/x", "harmless", "T-Id", "other") // Requests beside it are served.
 		is.Equal(w.Code, 200)
-		time.Sleep(2 * time.Minute)
+		time.Sleep(11 * time.Minute)                                         // longer than it is remembered
 		w, isBroken := h.call("POST", "/draft/x", "deadly", "T-Id", "later") // It is not refused for ever.
 		is.True(isBroken || w.Code != 502 || h.endedServers() > 2)
 	})
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -46,10 +46,12 @@
 type replicaSelector struct {
 	fleet *fleet.Fleet
 	node  FrontNode
+	// mayTry reports whether a request may be sent now, or a failure if it never may.
+	mayTry func(req *frontRequest) (bool, *ring.Failure)
 }
 
-func newReplicaSelector(f *fleet.Fleet, n FrontNode) *replicaSelector {
-	return &replicaSelector{fleet: f, node: n}
+func newReplicaSelector(f *fleet.Fleet, n FrontNode, mayTry func(*frontRequest) (bool, *ring.Failure)) *replicaSelector {
+	return &replicaSelector{fleet: f, node: n, mayTry: mayTry}
 }
 
 // prefillTime returns the estimated prefill time of the request's prompt.
@@ -111,7 +113,16 @@
 	for {
 		changed := s.fleet.Changed()
 		now := time.Now()
-		c, candidates, ok := s.tryAcquire(req, tried, prefill, rank, now)
+		mayTry, failure := s.mayTry(req)
+		if failure != nil {
+			req.queuedFor += now.Sub(start)
+			return fleet.Replica{}, failure
+		}
+		var c fleet.Candidate
+		candidates, ok := 1, false
+		if mayTry {
+			c, candidates, ok = s.tryAcquire(req, tried, prefill, rank, now)
+		}
 		if ok {
 			req.queuedFor += now.Sub(start)
 			s.assign(req, c, prefill)
@@ -139,8 +150,8 @@
 	candidates := s.fleet.Candidates(req.service.Name, req.header.Model, tried, now)
 	limit := s.limitFor(req, prefill, now)
 	choose := func() (fleet.Candidate, bool) { return s.chooseWithin(candidates, limit, rank) }
-	if req.isSuspect {
-		choose = func() (fleet.Candidate, bool) { return chooseLeastLoaded(candidates, limit) }
+	if req.isIsolated {
+		choose = func() (fleet.Candidate, bool) { return chooseIsolated(candidates, limit) }
 	}
 	c, ok := choose()
 	if ok {
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -1,52 +1,58 @@
-// Package suspect remembers the requests under which backend servers have ended, so that
-// a request that crashes its servers is not sent to one after the other.
+// Package suspect finds out what backend servers end under, a request or a part of the
+// prompts of many, so that it is not sent to one server after the other.
 //
 // Terms:
 //
-//   - Digest: a keyed hash of what a request asks for. A caller's repeats of a request have
-//     the same digest, whatever their IDs.
-//   - Strike: the end of a server's process while a request was at it. A strike is strong
-//     if the request had no events yet, or only for a short time: a request that has run for
-//     a while is more likely a bystander.
+//   - Subject: what may be to blame, a request or a part of a prompt. It is known by its
+//     digest, a keyed hash. A caller's repeats of a request have the same digest, whatever
+//     their IDs, and all requests with a part in common have that part's digest in common.
+//   - Strike: the end of a server's process while a subject was at it. A strike is strong
+//     if a request with the subject had no events yet, or only for a short time: a request
+//     that has run for a while is more likely a bystander.
+//   - Sound: a subject with which a response was complete, or has gone on for a while, since its
+//     last strike. Its strikes are dropped, or become weak, because what ends servers does so
+//     each time.
+//   - Refusal: a decision that requests are not sent to servers any more. It names one
+//     subject, or several that the strikes do not tell apart; it holds for requests with
+//     all of them. A request with only some of them is a trial, which tells them apart.
 //
 // Invariants:
 //
-//   - A server counts once for each request.
-//   - Nothing of a request is kept but its digest, and everything is dropped a bounded
-//     time after the last strike. The number of requests and of servers of each is bounded.
+//   - A process counts once for each subject.
+//   - A strike that a refusal accounts for does not count against other subjects.
+//   - Nothing of a request is kept but digests, and everything is dropped a bounded time
+//     after the last strike or refused request. The number of subjects, and of strikes and
+//     refusals, is bounded.
+//   - Nodes with the same strikes and sound subjects decide alike.
 package suspect
 
 import (
-	"cmp"
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/binary"
 	"slices"
-	"sync"
 	"time"
 
 	ring "eelgrassring.dev"
 )
 
-const (
-	// maxStrikes and maxStrongStrikes are the numbers of strikes from which a request is
-	// refused.
-	maxStrikes       = 3
-	maxStrongStrikes = 2
-	// retention is how long after its last strike a request is remembered.
-	retention = time.Minute
-	// maxRequests bounds the requests that are remembered; those whose retention ends
-	// first are dropped first.
-	maxRequests = 2048
-	// maxServers bounds the servers that are remembered for a request.
-	maxServers = 16
-)
-
-// Digest identifies a request by what it asks for.
+// Digest identifies a subject.
 type Digest uint64
 
-// NewDigest returns the digest of the parts of a request, keyed by a secret of its caller.
-func NewDigest(secret string, parts ...string) Digest {
+// partBit is set in the digest of a part.
+const partBit Digest = 1 << 63
+
+// NewDigest returns the digest of a request by the parts of what it asks for, keyed by a
+// secret of its caller.
+func NewDigest(secret string, parts ...string) Digest { return newDigest(secret, parts) &^ partBit }
+
+// NewPartDigest returns the digest of a part of a prompt, keyed by a secret.
+func NewPartDigest(secret string, parts ...string) Digest { return newDigest(secret, parts) | partBit }
+
+// IsPart reports whether the subject is a part of a prompt.
+func (d Digest) IsPart() bool { return d&partBit != 0 }
+
+func newDigest(secret string, parts []string) Digest {
 	h := hmac.New(sha256.New, []byte(secret))
 	var length [8]byte
 	for _, p := range parts {
@@ -57,155 +63,107 @@
 	return Digest(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
-// Strike is the end of a server's process while a request was at it. Server and
-// Incarnation identify the process.
-type Strike struct {
-	Request     Digest
+// Process identifies one start of a server.
+type Process struct {
 	Server      ring.VM
 	Incarnation string
-	IsStrong    bool
 }
 
-// Process identifies one start of a server.
-type Process struct {
+// Strike is the end of a server's process while a subject was at it. Server and
+// Incarnation identify the process.
+type Strike struct {
+	Subject     Digest
 	Server      ring.VM
 	Incarnation string
+	IsStrong    bool
 }
 
 // Process returns the process that has ended.
 func (s Strike) Process() Process { return Process{s.Server, s.Incarnation} }
 
-// Record is what is remembered of one request.
+// Record is what is remembered of one subject.
 type Record struct {
-	Request Digest
-	// Servers are the servers that have ended under the request, sorted.
+	Subject Digest
+	// Servers are the servers that have ended under the subject, sorted.
 	Servers []ring.VM
 	// Strong counts the strong strikes.
 	Strong int
-	// Until is when the request is forgotten.
+	// Until is when the subject is forgotten.
 	Until time.Time
+	// With are the other subjects of a refusal that names this one: requests with all of them
+	// are refused.
+	With []Digest
+	// isNamed is set if a refusal names the subject and no other.
+	isNamed bool
 }
 
-// IsRefused reports whether the request must not be sent to another server.
+// IsRefused reports whether requests with the subject must not be sent to another server.
 func (r Record) IsRefused() bool {
-	return len(r.Servers) >= maxStrikes || r.Strong >= maxStrongStrikes
-}
-
-// entry is the state behind a Record. strikes maps each process that has ended to whether
-// its strike was strong.
-type entry struct {
-	strikes map[Process]bool
-	until   time.Time
-}
-
-// Registry holds the requests that have strikes. It is safe for concurrent use. The zero
-// value is empty and usable.
-type Registry struct {
-	mu      sync.Mutex
-	entries map[Digest]*entry
-	// lastUntil is when the last of the entries is forgotten.
-	lastUntil time.Time
+	return r.isNamed || !r.Subject.IsPart() && (len(r.Servers) >= maxStrikes || r.Strong >= maxStrongStrikes)
 }
 
-// IsEmpty reports whether no request has a strike, so that no digest need be computed.
-func (r *Registry) IsEmpty(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return !now.Before(r.lastUntil)
+// Refusal is a decision to refuse the requests that have all of the subjects. The
+// subjects are sorted.
+type Refusal struct {
+	Subjects []Digest
+	// Servers are those that ended under the subjects, sorted.
+	Servers []ring.VM
+	// Since is the time of the first strike that counted, DecidedAt that of the decision.
+	Since     time.Time
+	DecidedAt time.Time
+	// Until is when the refusal ends, unless a request is refused before.
+	Until time.Time
+	// IsLate is set if servers ended a while after they had begun their responses. Then only a
+	// complete response shows that a subject is sound.
+	IsLate bool
+	// IsAdopted is set if another node has decided it.
+	IsAdopted bool
 }
 
-// Add records a strike. It returns the request's record, and whether the strike was new
-// or has become strong.
-func (r *Registry) Add(s Strike, now time.Time) (Record, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.prune(now)
-	e, known := r.entries[s.Request]
-	if !known {
-		if r.entries == nil {
-			r.entries = map[Digest]*entry{}
+// Covers reports whether the refusal holds for a request with the subjects.
+func (r *Refusal) Covers(subjects []Digest) bool {
+	for _, s := range r.Subjects {
+		if !slices.Contains(subjects, s) {
+			return false
 		}
-		r.makeRoom()
-		e = &entry{strikes: map[Process]bool{}}
-		r.entries[s.Request] = e
-	}
-	p := s.Process()
-	wasStrong, hadStrike := e.strikes[p]
-	if (hadStrike && (wasStrong || !s.IsStrong)) || (!hadStrike && len(e.strikes) >= maxServers) {
-		return e.record(s.Request), false
-	}
-	e.strikes[p] = s.IsStrong
-	e.until = now.Add(retention)
-	if e.until.After(r.lastUntil) {
-		r.lastUntil = e.until
 	}
-	return e.record(s.Request), true
+	return len(r.Subjects) > 0
 }
 
-// Find returns the record of a request, which is empty if it has no strike.
-func (r *Registry) Find(d Digest, now time.Time) Record {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if e, known := r.entries[d]; known && now.Before(e.until) {
-		return e.record(d)
-	}
-	return Record{Request: d}
-}
-
-// List returns all records, sorted by the end of their retention.
-func (r *Registry) List(now time.Time) []Record {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.prune(now)
-	out := make([]Record, 0, len(r.entries))
-	for d, e := range r.entries {
-		out = append(out, e.record(d))
+// overlap returns the subjects that the refusal names.
+func (r *Refusal) overlap(subjects []Digest) []Digest {
+	var out []Digest
+	for _, s := range r.Subjects {
+		if slices.Contains(subjects, s) {
+			out = append(out, s)
+		}
 	}
-	slices.SortFunc(out, func(a, b Record) int { return cmp.Or(a.Until.Compare(b.Until), cmp.Compare(a.Request, b.Request)) })
 	return out
 }
 
-// Clear forgets all requests.
-func (r *Registry) Clear() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	clear(r.entries)
-	r.lastUntil = time.Time{}
+// Judgement says what may be done with a request.
+type Judgement struct {
+	// Refusal is the refusal that holds for the request, or nil.
+	Refusal *Refusal
+	// Trial holds the subjects of the request that a refusal names along with others. It is empty
+	// if the request is no trial. Only one request at a time should try the same subjects.
+	Trial []Digest
+	// IsIsolated is set if a subject of the request is suspected so much that the request
+	// should go to the server to which all nodes send such requests.
+	IsIsolated bool
+	// IsRare is set if an isolated request may be sent only while the node's Window is open.
+	IsRare bool
 }
 
-// prune forgets the requests whose retention has ended; mu is held.
-func (r *Registry) prune(now time.Time) {
-	for d, e := range r.entries {
-		if !now.Before(e.until) {
-			delete(r.entries, d)
-		}
-	}
+// Window says when a node may send isolated requests that are suspected of many ends, so that
+// about one node does so at a time. The windows of nodes are apart by their phases.
+type Window struct {
+	// Start is the start of one window. It differs from node to node.
+	Start time.Time
 }
 
-// makeRoom forgets a request if maxRequests are remembered; mu is held.
-func (r *Registry) makeRoom() {
-	if len(r.entries) < maxRequests {
-		return
-	}
-	var oldest Digest
-	var until time.Time
-	for d, e := range r.entries {
-		if until.IsZero() || e.until.Before(until) {
-			oldest, until = d, e.until
-		}
-	}
-	delete(r.entries, oldest)
-}
-
-// record returns the record of the entry.
-func (e *entry) record(d Digest) Record {
-	out := Record{Request: d, Until: e.until}
-	for p, isStrong := range e.strikes {
-		out.Servers = append(out.Servers, p.Server)
-		if isStrong {
-			out.Strong++
-		}
-	}
-	slices.Sort(out.Servers)
-	return out
+// IsOpen reports whether the window is open. nodes is the number of nodes.
+func (w Window) IsOpen(now time.Time, nodes int) bool {
+	period := windowInterval * time.Duration(max(nodes, 1))
+	return now.Sub(w.Start)%period < windowTime
 }
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -29,7 +29,7 @@
 			var r Registry
 			now := time.Unix(1, 0)
 			for i, isStrong := range test.strong {
-				_, isNew := r.Add(Strike{Request: 7, Server: ring.VM(fmt.Sprint("s", i)), Incarnation: "1", IsStrong: isStrong}, now)
+				_, isNew := r.Add(Strike{Subject: 7, Server: ring.VM(fmt.Sprint("s", i)), Incarnation: "1", IsStrong: isStrong}, now)
 				is.True(isNew)
 			}
 			is.Equal(r.Find(7, now).IsRefused(), test.isRefused)
@@ -45,7 +45,7 @@
 	is := is.New(t)
 	var r Registry
 	now := time.Unix(1, 0)
-	weak := Strike{Request: 7, Server: "s", Incarnation: "1"}
+	weak := Strike{Subject: 7, Server: "s", Incarnation: "1"}
 	strong := weak
 	strong.IsStrong = true
 	for _, step := range []struct {
@@ -70,17 +70,17 @@
 	is := is.New(t)
 	var r Registry
 	now := time.Unix(1, 0)
-	for i := range 3 * maxRequests {
-		r.Add(Strike{Request: Digest(i), Server: "s"}, now.Add(time.Duration(i)))
+	for i := range 3 * maxSubjects {
+		r.Add(Strike{Subject: Digest(i), Server: "s"}, now.Add(time.Duration(i)))
 	}
-	is.Equal(len(r.List(now)), maxRequests)
-	is.Equal(len(r.Find(3*maxRequests-1, now).Servers), 1) // the latest are kept
+	is.Equal(len(r.List(now)), maxSubjects)
+	is.Equal(len(r.Find(3*maxSubjects-1, now).Servers), 1) // the latest are kept
 	for i := range 10 * maxServers {
-		r.Add(Strike{Request: 5, Server: ring.VM(fmt.Sprint(i))}, now)
+		r.Add(Strike{Subject: 5, Server: ring.VM(fmt.Sprint(i))}, now)
 	}
 	is.Equal(len(r.Find(5, now).Servers), maxServers)
 	is.True(!r.IsEmpty(now))
-	r.Clear()
+	r.Clear(now)
 	is.True(r.IsEmpty(now))
 }
 
@@ -91,7 +91,7 @@
 	var r Registry
 	now := time.Unix(1, 0)
 	is.True(r.IsEmpty(now))
-	r.Add(Strike{Request: 1, Server: "s"}, now)
+	r.Add(Strike{Subject: 1, Server: "s"}, now)
 	is.True(!r.IsEmpty(now.Add(retention - 1)))
 	is.True(r.IsEmpty(now.Add(retention)))
 }
@@ -106,3 +106,39 @@
 	is.True(d != NewDigest("l", "a", "bc"))
 	is.True(d != NewDigest("k", "a", "bd"))
 }
+
+// TestClearedSubjectIsNotAdoptedAgain guards against an operator who ends a refusal at one node
+// and gets it back from the others.
+func TestClearedSubjectIsNotAdoptedAgain(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	now := time.Unix(1, 0)
+	refusal := Refusal{Subjects: []Digest{partBit | 1, partBit | 2}, Since: now, DecidedAt: now, Until: now.Add(retention)}
+	_, isNew := r.Adopt(refusal, now)
+	is.True(isNew)
+	is.True(r.Judge([]Digest{7, partBit | 1, partBit | 2}, now).Refusal != nil)
+	is.Equal(r.Judge([]Digest{7, partBit | 1}, now).Trial, []Digest{partBit | 1}) // only some of the subjects
+	is.Equal(r.Clear(now.Add(time.Second)), refusal.Subjects)
+	sound, isNew := r.Adopt(refusal, now.Add(2*time.Second))
+	is.True(!isNew)
+	is.Equal(sound, refusal.Subjects)
+	is.True(r.Judge([]Digest{7, partBit | 1, partBit | 2}, now.Add(2*time.Second)).Refusal == nil)
+}
+
+// TestRefusalEnds guards against a refusal that ends while such requests still come, and against one
+// that never does.
+func TestRefusalEnds(t *testing.T) {
+	is := is.New(t)
+	var r Registry
+	start := time.Unix(1, 0)
+	r.Adopt(Refusal{Subjects: []Digest{partBit | 1}, Since: start, DecidedAt: start, Until: start.Add(retention)}, start)
+	request := []Digest{7, partBit | 1}
+	now := start
+	for now.Before(start.Add(maxRefusalTime - retention)) {
+		now = now.Add(retention - time.Second)
+		is.True(r.Judge(request, now).Refusal != nil)
+	}
+	is.True(r.Judge(request, start.Add(maxRefusalTime)).Refusal == nil)
+	r.Adopt(Refusal{Subjects: []Digest{partBit | 1}, Since: now, DecidedAt: now, Until: now.Add(retention)}, now)
+	is.True(r.Judge(request, now.Add(retention)).Refusal == nil) // no request came
+}
