agent: refusals are repeated, and so reach nodes that start or miss a message

Cause: news of suspects travelled once, in a datagram. The class: state that is only announced when it changes. A subject that was found sound since is answered with that.

Evidence: TestRefusalsAreRepeated, TestNodeThatStartsLearnsRefusals and the lossy half of TestSoundPartIsAcquittedEverywhere fail without the repeats (2 of 3 nodes send on).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -202,8 +202,9 @@
 	urgentLimiter     *rate.Limiter
 	stateListLimiter  *rate.Limiter
 	configReadLimiter *rate.Limiter
-	// strikes are about to be sent to the peers.
-	strikes *strikeQueue
+	// strikes are about to be sent to the peers. refusalsAt is when refusals are next repeated.
+	strikes    *strikeQueue
+	refusalsAt time.Time
 	// retryPool holds the retry usage of all nodes together.
 	retryPool    *retry.Pool
 	draining     atomic.Bool
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -208,7 +208,7 @@
 	for _, address := range addresses {
 		sent += a.send(address, message)
 	}
-	return sent
+	return sent + a.repeatRefusals(addresses, now)
 }
 
 // AnnouncePrefill tells the peers that this node sent a replica a prompt with the given
--- a/internal/agent/refusals.go
+++ b/internal/agent/refusals.go
@@ -13,6 +13,8 @@
 	// refusedPerDatagram that of refused ones.
 	soundPerDatagram   = 100
 	refusedPerDatagram = 60
+	// refusalInterval is the least time between two times at which a node repeats its refusals.
+	refusalInterval = 500 * time.Millisecond
 )
 
 // AnnounceSound tells the other nodes that responses to requests with suspected subjects
@@ -106,3 +108,20 @@
 		}
 	}
 }
+
+// repeatRefusals sends the refusals to nodes, at most once every refusalInterval, and returns the
+// number of bytes sent. A node that has just started, or missed a message, learns of them so.
+// Only the digest loop calls it.
+func (a *Agent) repeatRefusals(addresses []string, now time.Time) int {
+	if now.Before(a.refusalsAt) {
+		return 0
+	}
+	sent := 0
+	for _, m := range a.refusalMessages(now) {
+		a.refusalsAt = now.Add(refusalInterval)
+		for _, address := range addresses {
+			sent += a.send(address, m)
+		}
+	}
+	return sent
+}
--- a/internal/agent/refusals_test.go
+++ b/internal/agent/refusals_test.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -57,10 +59,48 @@
 	}
 }
 
+// TestRefusalsAreRepeated guards against nodes that miss a refusal because its datagram is lost,
+// and do not hear of it again.
+func TestRefusalsAreRepeated(t *testing.T) {
+	for _, nodes := range []int{3, 90} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(10 * time.Second)
+			tc.network.setDrops(func(_ string, m digest.Message) bool { return len(m.Refusals) > 0 })
+			refusePart(is, tc.agents[nodes-1])
+			time.Sleep(300 * time.Millisecond)
+			is.Equal(tc.nodesThatSend(), nodes-1)
+			tc.network.setDrops(nil)
+			time.Sleep(3 * time.Second)
+			is.Equal(tc.nodesThatSend(), 0)
+		})
+	}
+}
+
+// TestNodeThatStartsLearnsRefusals guards against a node that has just started and sends, once it
+// is in touch, what all others refuse.
+func TestNodeThatStartsLearnsRefusals(t *testing.T) {
+	for _, nodes := range []int{3, 30} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(10 * time.Second)
+			refusePart(is, tc.agents[0])
+			time.Sleep(time.Second)
+			ctx, cancel := context.WithCancel(context.Background())
+			var wait sync.WaitGroup
+			tc.startNode(ctx, &wait, "late")
+			time.Sleep(3 * time.Second)
+			is.Equal(tc.nodesThatSend(), 0)
+			cancel()
+			wait.Wait()
+		})
+	}
+}
+
 // TestSoundPartIsAcquittedEverywhere guards against a refusal that stands, or comes back from other
 // nodes, although a response with the part was complete.
 func TestSoundPartIsAcquittedEverywhere(t *testing.T) {
-	for _, isLossy := range []bool{false} {
+	for _, isLossy := range []bool{false, true} {
 		for _, nodes := range []int{3, 90} {
 			runCluster(t, nodes, func(is *is.I, tc *testCluster) {
 				tc.writeConfig(1)
