gateway: a response that ends with its connection is complete only if its server lives

What callers could see: a stream or a body with neither a length nor chunks, cut off by the end of its server between two events, came through as whole; a stream without any event as a whole empty one. And its request would be found sound by its own crash.

Cause: the close of the connection was the only sign of the end, and a process that ends closes its connections as well. Now such a response counts as broken off when its server refuses connections, or when it is a new stream without an event; idempotent ones go on elsewhere. Streams that end inside an event were broken off before too, which the tests now pin.

Six of the cases of TestStreamThatEndsWithItsConnection and TestBodyThatEndsWithItsServer failed before.

--- /dev/null
+++ b/internal/gateway/frontclose_test.go
@@ -0,0 +1,114 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The header of a response that has neither a length nor chunks and ends with its
+// connection.
+func unframedHeader(r receivedRequest, contentType string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\nContent-Type: %s\r\nConnection: close\r\n\r\n", r.header.Get("T-Id"), contentType)
+}
+
+// writePieces writes the events from after last to 4 without chunks.
+func writePieces(c net.Conn, last int64) {
+	for id := last + 1; id <= 4; id++ {
+		fmt.Fprintf(c, "id: %d\ndata: piece\n\n", id)
+	}
+}
+
+// TestStreamThatEndsWithItsConnection guards against streams without a length that are taken
+// for complete although their server ended, and against whole ones that are sent again.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		attempts int
+		// first writes the body of the first attempt.
+		first func(h *frontHarness, server string, c net.Conn)
+	}{
+		{"whole", 1, func(_ *frontHarness, _ string, c net.Conn) { writePieces(c, 0) }},
+		{"ends inside an event", 2, func(_ *frontHarness, _ string, c net.Conn) { fmt.Fprint(c, "id: 1\ndata: piece\n\nid: 2\nda") }},
+		{"ends after the last line of an event", 2, func(_ *frontHarness, _ string, c net.Conn) {
+			fmt.Fprint(c, "id: 1\ndata: piece\n\nid: 2\ndata: piece\n")
+		}},
+		{"ends with its server between two events", 2, func(h *frontHarness, server string, c net.Conn) {
+			fmt.Fprint(c, "id: 1\ndata: piece\n\n")
+			h.end(server)
+		}},
+		{"ends with its server before the first event", 2, func(h *frontHarness, server string, _ net.Conn) { h.end(server) }},
+		{"ends before the first event", 2, func(*frontHarness, string, net.Conn) {}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+				h.handle = func(server string, n int, r receivedRequest, c net.Conn) {
+					fmt.Fprint(c, unframedHeader(r, "text/event-stream"))
+					if n == 1 {
+						test.first(h, server, c)
+						return
+					}
+					last, _ := numericEventID(r.header.Get("Last-Event-Id"))
+					writePieces(c, last)
+				}
+				w, isBroken := h.call("POST", "/draft/x", "body")
+				is.True(!isBroken)
+				is.Equal(w.Code, 200)
+				is.Equal(strings.Count(w.Body.String(), "data: piece\n\n"), 4)
+				is.Equal(len(h.requests()), test.attempts)
+			})
+		})
+	}
+}
+
+// TestResumedStreamMayBeEmpty guards against taking the rest of a stream for broken because the
+// caller has all its events.
+func TestResumedStreamMayBeEmpty(t *testing.T) {
+	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+		h.handle = func(_ string, _ int, r receivedRequest, c net.Conn) {
+			fmt.Fprint(c, unframedHeader(r, "text/event-stream"))
+		}
+		w, isBroken := h.call("POST", "/draft/x", "body", "Last-Event-Id", "4")
+		is.True(!isBroken)
+		is.Equal(w.Code, 200)
+		is.Equal(len(h.requests()), 1)
+	})
+}
+
+// TestBodyThatEndsWithItsServer guards against a body without a length that is taken for
+// complete although its server ended while it sent it.
+func TestBodyThatEndsWithItsServer(t *testing.T) {
+	for _, test := range []struct {
+		name, method, target string
+		doesEnd              bool
+		status, attempts     int
+	}{
+		{"idempotent", "GET", "/read/1", true, 200, 2},
+		{"non-idempotent", "POST", "/write/1", true, 502, 1},
+		{"whole", "POST", "/write/1", false, 200, 1},
+		{"of a model", "POST", "/draft/1", true, 200, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+				h.handle = func(server string, n int, r receivedRequest, c net.Conn) {
+					fmt.Fprint(c, unframedHeader(r, "text/plain"))
+					if n == 1 && test.doesEnd {
+						fmt.Fprint(c, "ha")
+						h.end(server)
+						return
+					}
+					fmt.Fprint(c, "half and half")
+				}
+				w, _ := h.call(test.method, test.target, "")
+				is.Equal(w.Code, test.status)
+				is.Equal(len(h.requests()), test.attempts)
+				if test.status == 200 {
+					is.Equal(w.Body.String(), "half and half")
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -350,6 +350,9 @@
 	}
 	body, err := x.readBody()
 	watch.stop()
+	if err == nil {
+		err = f.checkEnd(ctx, x, server)
+	}
 	switch {
 	case err != nil:
 		f.servers.release(server, 1, 0, time.Now())
--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -265,11 +266,11 @@
 		return false, &attemptError{stage: stageRefused, err: fmt.Errorf("refused with status %d by %s", x.response.StatusCode, x.header.FaultyServer)}
 	}
 	if !strings.HasPrefix(x.response.Header.Get("Content-Type"), "text/event-stream") || x.response.StatusCode != http.StatusOK {
-		isFinal, err := o.forwardWhole(x, chosen.Group, isLast)
+		isFinal, err := o.forwardWhole(ctx, x, chosen, isLast)
 		watch.stop()
 		return isFinal, err
 	}
-	err := o.forwardStream(x, chosen.Group, &streaming)
+	err := o.forwardStream(ctx, x, chosen, &streaming)
 	if watch.stop() && err != nil {
 		err = &attemptError{stage: stageSent, err: errSilent}
 	}
@@ -280,16 +281,19 @@
 // server error and another attempt may follow, or if a stream has already started, it
 // forwards nothing and returns an error. The bool reports whether the outcome is final,
 // so that no other replica may be tried.
-func (o *replicaRelay) forwardWhole(x *exchange, group ring.Group, isLast bool) (bool, *attemptError) {
+func (o *replicaRelay) forwardWhole(ctx context.Context, x *exchange, chosen fleet.Replica, isLast bool) (bool, *attemptError) {
 	isServerError := x.response.StatusCode >= http.StatusInternalServerError
 	if isServerError {
 		// A replica that fails fast would otherwise appear the least loaded.
-		o.front.config.Fleet.MarkFailed(group, time.Now())
+		o.front.config.Fleet.MarkFailed(chosen.Group, time.Now())
 	}
 	if o.started || (isServerError && !isLast && o.request.route.MayRepeat()) {
 		return false, &attemptError{stage: stageSent, err: fmt.Errorf("status %d", x.response.StatusCode)}
 	}
 	body, err := x.readBody()
+	if err == nil {
+		err = o.front.checkEnd(ctx, x, chosen.Head)
+	}
 	if err != nil {
 		return false, &attemptError{stage: stageSent, err: err}
 	}
@@ -303,11 +307,15 @@
 
 // forwardStream forwards whole events until the stream is complete. It returns an error
 // if the stream breaks, and sets streaming at the first event.
-func (o *replicaRelay) forwardStream(x *exchange, group ring.Group, streaming *bool) *attemptError {
+func (o *replicaRelay) forwardStream(ctx context.Context, x *exchange, chosen fleet.Replica, streaming *bool) *attemptError {
+	group := chosen.Group
 	events := newEventReader(x.response.Body)
 	for {
 		e, err := events.next()
 		if errors.Is(err, errStreamEnd) {
+			if err := o.checkStreamEnd(ctx, x, chosen.Head, *streaming); err != nil {
+				return &attemptError{stage: stageSent, err: fmt.Errorf("stream broke: %w", err)}
+			}
 			if !o.started {
 				o.writeHeader(x)
 			}
@@ -354,6 +362,15 @@
 	}
 }
 
+// checkStreamEnd returns an error if a stream that has ended between two events is not complete.
+// An unframed one without any event is not, unless it goes on where the caller may have all.
+func (o *replicaRelay) checkStreamEnd(ctx context.Context, x *exchange, head ring.Server, hasEvents bool) error {
+	if x.isUnframed() && !hasEvents && o.lastEventID == "" {
+		return io.ErrUnexpectedEOF
+	}
+	return o.front.checkEnd(ctx, x, head)
+}
+
 // isDuplicate reports whether the caller already has the event.
 func (o *replicaRelay) isDuplicate(e streamEvent) bool {
 	lastID, hasLast := numericEventID(o.lastEventID)
