gateway, suspect: requests to services without models are refused when servers end under them

Now plain attempts do too, before each one the refusals are asked, and a complete response takes a single strike away at its node, since callers poll the same record for hours. The others learn it only if they would refuse it.

TestPlainRequestThatEndsItsServersIsContained and TestRequestThatIsServedBetweenCrashesIsNotRefused failed before.

--- a/internal/gateway/frontpart_test.go
+++ b/internal/gateway/frontpart_test.go
@@ -283,7 +283,12 @@
 		h.starts++
 		epoch := 100 + h.starts
 		h.mu.Unlock()
-		h.putPartServer(server, fmt.Sprint(epoch), epoch)
+		s, _ := h.fleet.Server(ring.VM(server))
+		s.Incarnation = fmt.Sprint(epoch)
+		if s.Membership.Group != "" {
+			s.Membership.Epoch = ring.Epoch(epoch)
+		}
+		h.fleet.Put(s, ring.Revision(epoch+20))
 	})
 }
 
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -213,11 +213,15 @@
 func (f *Front) servePlain(ctx context.Context, w http.ResponseWriter, req *frontRequest) *ring.Failure {
 	p := &plainRelay{front: f, w: w, request: req, tried: map[ring.VM]bool{}}
 	defer p.releaseNext()
+	defer f.endTrial(req)
 	var lastFailure *ring.Failure
 	for req.attempts < req.route.MaxAttempts {
 		if failure := f.recheck(req); failure != nil {
 			return failure
 		}
+		if failure := f.refuseSuspect(req); failure != nil {
+			return failure
+		}
 		server, ok := p.nextServer()
 		if !ok {
 			break
@@ -260,6 +264,11 @@
 	if probe.deadline.Sub(now) < minRetryDelay || f.recheck(probe) != nil || !f.budgets.allows(probe.service) {
 		return false
 	}
+	failure := f.refuseSuspect(probe)
+	f.endTrial(probe)
+	if failure != nil {
+		return false
+	}
 	server, ok := f.servers.acquire(f.config.Fleet.AvailableServers(probe.service.Name, now), p.tried, now)
 	if !ok {
 		return false
@@ -330,6 +339,7 @@
 	if attemptErr != nil {
 		watch.stop()
 		f.servers.release(server, 1, 0, time.Now())
+		f.recordCrash(ctx, req, server, attemptErr, time.Time{})
 		return f.classifyFailure(req, server, attemptErr)
 	}
 	defer x.close()
@@ -356,10 +366,13 @@
 	switch {
 	case err != nil:
 		f.servers.release(server, 1, 0, time.Now())
-		return f.classifyFailure(req, server, &attemptError{stage: stageSent, err: err})
+		attemptErr := &attemptError{stage: stageSent, err: err}
+		f.recordCrash(ctx, req, server, attemptErr, time.Time{})
+		return f.classifyFailure(req, server, attemptErr)
 	case isServerError:
 		f.servers.release(server, 0.25, 0, time.Now())
 	default:
+		f.recordSound(req, true)
 		f.servers.release(server, 0, time.Since(begin), time.Now())
 	}
 	req.timeToFirstEvent = time.Since(req.receivedAt)
--- a/internal/gateway/frontsuspect_test.go
+++ b/internal/gateway/frontsuspect_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -193,3 +194,53 @@
 		})
 	}
 }
+
+// TestPlainRequestThatEndsItsServersIsContained guards against a request that ends server after server
+// of a service without models, by its second attempt and by its caller's repeats.
+func TestPlainRequestThatEndsItsServersIsContained(t *testing.T) {
+	for _, target := range []string{"/read/1", "/write/1"} {
+		withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+			h.handle = func(server string, _ int, r receivedRequest, c net.Conn) {
+				if strings.HasSuffix(r.requestLine, "/1 HTTP/1.1") {
+					h.restart(server)
+					return
+				}
+				respond(c, 200, r.header.Get("T-Id"), "ok")
+			}
+			for i := range 8 {
+				w, _ := h.call("POST", target, "deadly", "T-Id", fmt.Sprint("id", i))
+				is.True(w.Code != 200)
+				if i == 7 {
+					is.Equal(w.Header().Get(headerCode), fmt.Sprint(int(ring.CodeCrashesServers)))
+				}
+				time.Sleep(2 * time.Second) // The servers come back meanwhile.
+			}
+			is.True(len(h.requests()) <= 3)
+			w, _ := h.call("GET", "/read/2", "", "T-Id", "other")
+			is.Equal(w.Code, 200)
+			time.Sleep(partRestart)
+		})
+	}
+}
+
+// TestRequestThatIsServedBetweenCrashesIsNotRefused guards against refusing a request that its
+// caller repeats all the time because it was there when two servers ended, minutes apart.
+func TestRequestThatIsServedBetweenCrashesIsNotRefused(t *testing.T) {
+	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+		doesEnd := false
+		h.handle = func(server string, _ int, r receivedRequest, c net.Conn) {
+			if doesEnd {
+				doesEnd = false
+				h.restart(server)
+				return
+			}
+			respond(c, 200, r.header.Get("T-Id"), "ok")
+		}
+		for range 4 {
+			doesEnd = true
+			w, _ := h.call("GET", "/read/1", "")
+			is.Equal(w.Code, 200) // by the second attempt
+			time.Sleep(time.Minute)
+		}
+	})
+}
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -182,14 +182,14 @@
 
 // acquit records that a response to a request with the subject was complete, which drops its
 // strikes, or has gone on for a while, after which they are weak. The refusals that this contradicts
-// do not name the subject any more. acquit does nothing, and returns false, if the subject is
-// hardly suspected.
+// do not name the subject any more. acquit returns false if the subject was hardly suspected,
+// so that the other nodes need not know.
 func (v *evidence) acquit(d Digest, isComplete bool, now time.Time) bool {
 	v.soundAt = now
 	isNamed := slices.ContainsFunc(v.refusals, func(r *Refusal) bool { return slices.Contains(r.Subjects, d) && (isComplete || !r.IsLate) })
 	e, known := v.entries[d]
-	isSuspected := known && (e.strong() >= isolatedStrikes || isComplete && len(e.strikes) >= isolatedStrikes)
-	if !isNamed && !isSuspected {
+	isSuspected := isNamed || known && (e.strong() >= isolatedStrikes || isComplete && len(e.strikes) >= isolatedStrikes)
+	if !isSuspected && (!isComplete || !known || len(e.strikes) == 0) {
 		return false
 	}
 	e = v.entryOf(d, now)
@@ -206,7 +206,7 @@
 	if isNamed {
 		v.dropSubject(d, isComplete)
 	}
-	return true
+	return isSuspected
 }
 
 // dropSubject takes a subject out of the refusals that acquit contradicts.
