suspect: a part that waits for the first response is refused once there is one

A part with enough strikes is not refused before a response to any request is complete or goes on. If that response did not concern the part, the decision was not made again until the next strike, so that one more server ended.

--- a/internal/gateway/frontpart_test.go
+++ b/internal/gateway/frontpart_test.go
@@ -412,7 +412,10 @@
 // their prompts is refused.
 func TestRefusedPartDoesNotStopSoundStreams(t *testing.T) {
 	withDeadlyRequests(t, 900*time.Millisecond, func(t *testing.T, is *is.I, h *frontHarness) {
-		time.AfterFunc(300*time.Millisecond, h.refuseDeadlyPart)
+		time.AfterFunc(300*time.Millisecond, func() {
+			h.refuseDeadlyPart()
+			h.call("POST", "/draft/x", "other", "T-Parts", deadlyPart) // It meets the refusal.
+		})
 		w, isBroken := h.call("POST", "/draft/x", "harmless", "T-Parts", deadlyPart+",last")
 		is.True(!isBroken)
 		is.Equal(w.Code, 200)
@@ -420,3 +423,38 @@
 		is.True(h.front.config.Suspects.Judge([]suspect.Digest{1, suspect.NewPartDigest("engine", "m", deadlyPart)}, time.Now()).Refusal == nil)
 	})
 }
+
+// TestIsolatedRequestsGoOneAtATime guards against requests with a suspected part that end replica
+// after replica because a node sends them all at once.
+func TestIsolatedRequestsGoOneAtATime(t *testing.T) {
+	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+		part := suspect.NewPartDigest("engine", "m", deadlyPart)
+		for _, server := range []ring.VM{"x1", "x2"} {
+			h.front.config.Suspects.Add(suspect.Strike{Subject: part, Server: server, IsStrong: true}, time.Now())
+		}
+		atOnce, most := 0, 0
+		h.handle = func(_ string, _ int, r receivedRequest, c net.Conn) {
+			h.mu.Lock()
+			atOnce++
+			most = max(most, atOnce)
+			h.mu.Unlock()
+			time.Sleep(50 * time.Millisecond)
+			h.mu.Lock()
+			atOnce--
+			h.mu.Unlock()
+			respond(c, 404, r.header.Get("T-Id"), "no evidence")
+		}
+		var calls sync.WaitGroup
+		for i := range 4 {
+			calls.Go(func() { h.call("POST", "/draft/x", fmt.Sprint(i), "T-Parts", deadlyPart) })
+		}
+		calls.Wait()
+		is.Equal(len(h.requests()), 4)
+		is.Equal(most, 1)
+		servers := map[string]bool{}
+		for _, r := range h.requests() {
+			servers[r.server] = true
+		}
+		is.Equal(len(servers), 1) // the replica that all nodes choose
+	})
+}
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -117,6 +117,9 @@
 	// must be called in any case, or zero.
 	isChanged bool
 	decideAt  time.Time
+	// awaitsSound is set if parts have enough strikes, and are refused if a response to any request
+	// is complete or goes on.
+	awaitsSound bool
 	// decisions counts the changes of refusals.
 	decisions int
 }
@@ -186,6 +189,7 @@
 // so that the other nodes need not know.
 func (v *evidence) acquit(d Digest, isComplete bool, now time.Time) bool {
 	v.soundAt = now
+	v.isChanged = v.isChanged || v.awaitsSound
 	isNamed := slices.ContainsFunc(v.refusals, func(r *Refusal) bool { return slices.Contains(r.Subjects, d) && (isComplete || !r.IsLate) })
 	e, known := v.entries[d]
 	isSuspected := isNamed || known && (e.strong() >= isolatedStrikes || isComplete && len(e.strikes) >= isolatedStrikes)
@@ -267,7 +271,7 @@
 	if !v.isChanged && (v.decideAt.IsZero() || now.Before(v.decideAt)) {
 		return
 	}
-	v.isChanged, v.decideAt = false, time.Time{}
+	v.isChanged, v.awaitsSound, v.decideAt = false, false, time.Time{}
 	v.narrow(now)
 	for _, isLate := range []bool{false, true} {
 		c := v.findCandidates(isLate, now)
@@ -279,9 +283,13 @@
 			v.decideAt = settledAt
 			return
 		}
-		if len(c.subjects) > maxRefusalSubjects || (!v.soundAt.After(c.eligibleAt) && c.causes < maxBlindStrikes) {
+		if len(c.subjects) > maxRefusalSubjects {
 			return // Further strikes and responses tell them apart.
 		}
+		if !v.soundAt.After(c.eligibleAt) && c.causes < maxBlindStrikes {
+			v.awaitsSound = true
+			return
+		}
 		v.refuse(&Refusal{Subjects: c.subjects, Since: c.since, DecidedAt: now, Until: now.Add(retention), IsLate: isLate})
 		v.isChanged = true // The strikes that are left may suffice for another refusal.
 		return
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -142,3 +142,99 @@
 	r.Adopt(Refusal{Subjects: []Digest{partBit | 1}, Since: now, DecidedAt: now, Until: now.Add(retention)}, now)
 	is.True(r.Judge(request, now.Add(retention)).Refusal == nil) // no request came
 }
+
+// strikePart adds strong strikes against a part, one for each server, 100 ms apart. It returns
+// the time after them.
+func strikePart(r *Registry, part Digest, now time.Time, servers ...string) time.Time {
+	for _, server := range servers {
+		now = now.Add(100 * time.Millisecond)
+		r.Add(Strike{Subject: part, Server: ring.VM(server), IsStrong: true}, now)
+		r.Decide(now)
+	}
+	return now
+}
+
+// isRefused reports whether a request with the part is refused after SettleTime, in which another
+// response is complete if hasOther is set.
+func isRefused(r *Registry, part Digest, now time.Time, hasOther bool) bool {
+	if hasOther {
+		r.Acquit([]Digest{5}, true, now.Add(SettleTime/2))
+	}
+	return r.Judge([]Digest{7, part}, now.Add(SettleTime)).Refusal != nil
+}
+
+// TestPartIsNotRefusedWhileNothingIsServed guards against refusing the parts that all requests
+// have when all servers end at once, and so no response could show that they are sound.
+func TestPartIsNotRefusedWhileNothingIsServed(t *testing.T) {
+	is := is.New(t)
+	part, start := partBit|1, time.Unix(1, 0)
+	var r Registry
+	now := strikePart(&r, part, start, "a", "b", "c")
+	is.True(!isRefused(&r, part, now, false))
+	is.True(isRefused(&r, part, now, true))
+	var blind Registry
+	now = strikePart(&blind, part, start, "a", "b", "c", "d", "e")
+	is.True(isRefused(&blind, part, now, false)) // It goes on for too long.
+}
+
+// TestPartAmongOtherEndsNeedsMoreStrikes guards against refusing a part that was by chance at some of
+// many servers that ended.
+func TestPartAmongOtherEndsNeedsMoreStrikes(t *testing.T) {
+	is := is.New(t)
+	part, start := partBit|1, time.Unix(1, 0)
+	var r Registry
+	now := strikePart(&r, partBit|2, start, "x1", "x2")
+	r.Acquit([]Digest{partBit | 2}, true, now)
+	now = strikePart(&r, partBit|3, now, "x3", "x4")
+	r.Acquit([]Digest{partBit | 3}, true, now)
+	now = strikePart(&r, part, now, "a", "b", "c")
+	is.True(!isRefused(&r, part, now, true)) // three of seven
+	now = strikePart(&r, part, now.Add(SettleTime), "d")
+	is.True(isRefused(&r, part, now, true))
+}
+
+// TestTwoStrikesDoNotRefuseARequestBesideARival guards against refusing a request that was at two
+// servers together with another one, or while servers end where it was not.
+func TestTwoStrikesDoNotRefuseARequestBesideARival(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1, 0)
+	add := func(r *Registry, d Digest, servers ...ring.VM) {
+		for _, server := range servers {
+			r.Add(Strike{Subject: d, Server: server, IsStrong: true}, now)
+		}
+	}
+	var alone, rival, others Registry
+	add(&alone, 7, "a", "b")
+	is.True(alone.Judge([]Digest{7}, now).Refusal != nil)
+	add(&rival, 7, "a", "b")
+	add(&rival, 8, "a", "b")
+	is.True(rival.Judge([]Digest{7}, now).Refusal == nil)
+	is.True(rival.Judge([]Digest{7}, now).IsIsolated)
+	add(&others, 7, "a", "b")
+	add(&others, 8, "c")
+	is.True(others.Judge([]Digest{7}, now).Refusal == nil)
+	add(&others, 7, "d")
+	is.True(others.Judge([]Digest{7}, now).Refusal != nil)
+}
+
+// TestSubjectsThatNothingTellsApartAreTried guards against refusing requests with only one of several
+// subjects that were at the same servers. Further ends, or a complete response, tell them apart.
+func TestSubjectsThatNothingTellsApartAreTried(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1, 0)
+	first, second := partBit|1, partBit|2
+	var r Registry
+	for _, server := range []ring.VM{"a", "b", "c"} {
+		now = now.Add(100 * time.Millisecond)
+		r.Add(Strike{Subject: first, Server: server, IsStrong: true}, now)
+		r.Add(Strike{Subject: second, Server: server, IsStrong: true}, now)
+		r.Decide(now)
+	}
+	r.Acquit([]Digest{5}, true, now.Add(time.Millisecond))
+	now = now.Add(SettleTime)
+	is.True(r.Judge([]Digest{7, first, second}, now).Refusal != nil)
+	is.Equal(r.Judge([]Digest{8, first}, now).Trial, []Digest{first})
+	r.Acquit([]Digest{first}, true, now)
+	is.True(r.Judge([]Digest{8, first}, now).Refusal == nil)
+	is.True(r.Judge([]Digest{9, second}, now).Refusal != nil)
+}
