--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -429,8 +429,7 @@
 		}
 		if r.Covers(subjects) {
 			r.Until = v.extendRefusal(r, now)
-			refusal := *r
-			return Judgement{Refusal: &refusal}
+			return Judgement{Refusal: r.clone()}
 		}
 		if some := r.overlap(subjects); len(some) > 0 && len(out.Trial) == 0 {
 			out.Trial, out.IsIsolated, out.IsRare = some, true, true
--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -62,9 +62,7 @@
 	r.prune(now)
 	out := make([]Refusal, 0, len(r.refusals))
 	for _, refusal := range r.refusals {
-		c := *refusal
-		c.Subjects = slices.Clone(c.Subjects)
-		out = append(out, c)
+		out = append(out, *refusal.clone())
 	}
 	return out, r.decisions
 }
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -120,6 +120,13 @@
 	IsAdopted bool
 }
 
+// clone returns a copy that shares nothing with the refusal.
+func (r *Refusal) clone() *Refusal {
+	out := *r
+	out.Subjects, out.Servers = slices.Clone(r.Subjects), slices.Clone(r.Servers)
+	return &out
+}
+
 // Covers reports whether the refusal holds for a request with the subjects.
 func (r *Refusal) Covers(subjects []Digest) bool {
 	for _, s := range r.Subjects {
