suspect: a refusal of a request does not share the request's list of subjects

An acquittal emptied the list in place, also for the request that had met the refusal. Found by reading; TestRefusalKeepsItsOwnSubjects failed before.

--- a/internal/suspect/decide.go
+++ b/internal/suspect/decide.go
@@ -244,11 +244,9 @@
 		}
 	}
 	if len(subjects) > 0 && v.mustRefuse(subjects, now) {
-		refusal := Refusal{Subjects: subjects[:1:1], Since: v.entries[subjects[0]].strikes[0].at, DecidedAt: now, Until: now.Add(retention)}
-		stored := refusal
-		v.refuse(&stored)
-		refusal.Servers = stored.Servers
-		return Judgement{Refusal: &refusal}
+		refusal := &Refusal{Subjects: []Digest{subjects[0]}, Since: v.entries[subjects[0]].strikes[0].at, DecidedAt: now, Until: now.Add(retention)}
+		v.refuse(refusal)
+		return Judgement{Refusal: refusal.clone()}
 	}
 	for _, d := range subjects {
 		e, known := v.entries[d]
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -238,3 +238,20 @@
 	is.True(r.Judge([]Digest{8, first}, now).Refusal == nil)
 	is.True(r.Judge([]Digest{9, second}, now).Refusal != nil)
 }
+
+// TestRefusalKeepsItsOwnSubjects guards against a refusal that shares the subjects of the request which
+// met it, and changes them when it ends.
+func TestRefusalKeepsItsOwnSubjects(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1, 0)
+	var r Registry
+	for _, server := range []ring.VM{"a", "b"} {
+		r.Add(Strike{Subject: 7, Server: server, IsStrong: true}, now)
+	}
+	subjects := []Digest{7, partBit | 1}
+	refusal := r.Judge(subjects, now).Refusal
+	is.Equal(refusal.Subjects, []Digest{7})
+	r.Acquit([]Digest{7}, true, now)
+	is.Equal(subjects, []Digest{7, partBit | 1})
+	is.Equal(refusal.Subjects, []Digest{7})
+}
