--- a/internal/gateway/frontpart_test.go
+++ b/internal/gateway/frontpart_test.go
@@ -387,8 +387,8 @@
 	})
 }
 
-// TestAttemptIsGivenUpOnceItsPartIsRefused guards against servers that end under requests which were
-// sent before their part was refused and still wait there.
+// TestAttemptIsGivenUpOnceItsPartIsRefused guards against servers that end under requests
+// which were sent before their part was refused and still wait there.
 func TestAttemptIsGivenUpOnceItsPartIsRefused(t *testing.T) {
 	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
 		h.handle = func(_ string, _ int, r receivedRequest, c net.Conn) {
@@ -408,8 +408,8 @@
 	})
 }
 
-// TestRefusedPartDoesNotStopSoundStreams guards against cutting streams that have begun when a part of
-// their prompts is refused.
+// TestRefusedPartDoesNotStopSoundStreams guards against cutting streams that have begun
+// when a part of their prompts is refused.
 func TestRefusedPartDoesNotStopSoundStreams(t *testing.T) {
 	withDeadlyRequests(t, 900*time.Millisecond, func(t *testing.T, is *is.I, h *frontHarness) {
 		time.AfterFunc(300*time.Millisecond, func() {
--- a/internal/gateway/frontsuspect_test.go
+++ b/internal/gateway/frontsuspect_test.go
@@ -195,8 +195,9 @@
 	}
 }
 
-// TestPlainRequestThatEndsItsServersIsContained guards against a request that ends server after server
-// of a service without models, by its second attempt and by its caller's repeats.
+// TestPlainRequestThatEndsItsServersIsContained guards against a request that ends server
+// after server of a service without models, by its second attempt and by its caller's
+// repeats.
 func TestPlainRequestThatEndsItsServersIsContained(t *testing.T) {
 	for _, target := range []string{"/read/1", "/write/1"} {
 		withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -186,10 +186,10 @@
 	v.ends = append(v.ends, strike{process: p, at: now})
 }
 
-// acquit records that a response to a request with the subject was complete, which drops its
-// strikes, or has gone on for a while, after which they are weak. The refusals that this contradicts
-// do not name the subject any more. acquit returns false if the subject was hardly suspected,
-// so that the other nodes need not know.
+// acquit records that a response to a request with the subject was complete, which drops
+// its strikes, or has gone on for a while, after which they are weak. The refusals that this
+// contradicts do not name the subject any more. acquit returns false if the subject was
+// hardly suspected, so that the other nodes need not know.
 func (v *evidence) acquit(d Digest, isComplete bool, now time.Time) bool {
 	v.soundAt = now
 	v.isChanged = v.isChanged || v.awaitsSound
--- a/internal/suspect/suspect_test.go
+++ b/internal/suspect/suspect_test.go
@@ -177,8 +177,8 @@
 	is.True(isRefused(&blind, part, now, false)) // It goes on for too long.
 }
 
-// TestPartAmongOtherEndsNeedsMoreStrikes guards against refusing a part that was by chance at some of
-// many servers that ended.
+// TestPartAmongOtherEndsNeedsMoreStrikes guards against refusing a part that was by chance
+// at some of many servers that ended.
 func TestPartAmongOtherEndsNeedsMoreStrikes(t *testing.T) {
 	is := is.New(t)
 	part, start := partBit|1, time.Unix(1, 0)
@@ -217,8 +217,9 @@
 	is.True(others.Judge([]Digest{7}, now).Refusal != nil)
 }
 
-// TestSubjectsThatNothingTellsApartAreTried guards against refusing requests with only one of several
-// subjects that were at the same servers. Further ends, or a complete response, tell them apart.
+// TestSubjectsThatNothingTellsApartAreTried guards against refusing requests with only one
+// of several subjects that were at the same servers. Further ends, or a complete response,
+// tell them apart.
 func TestSubjectsThatNothingTellsApartAreTried(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1, 0)
