agent, suspect: repeated refusals leave the rotation of children alone; one list of other ends

The addresses for repeated refusals were taken from childAddresses, which moves on the rotation that decides which extra child a rate limit leaves out, also while nothing is refused: twice for each summary of the root, so that of two extra children the same one came first each time. What callers saw: nothing was seen. children gives both lists without the rotation now, and childAddresses and allChildAddresses share it. TestRepeatedRefusalsDoNotRotateChildren failed before (rotation 91 after 89 plus one).

leastCauses and hasOtherEnds looked for the same ends in two loops; otherEnds serves both. Two constants stand at their comment again, one comment is wrapped.

--- a/internal/agent/refusals_test.go
+++ b/internal/agent/refusals_test.go
@@ -141,3 +141,26 @@
 		is.Equal(messages, 0)
 	})
 }
+
+// TestRepeatedRefusalsDoNotRotateChildren guards against leaving out the same extra child of two at
+// each summary: the rotation must move on by one each time.
+func TestRepeatedRefusalsDoNotRotateChildren(t *testing.T) {
+	for _, isRefusing := range []bool{false, true} {
+		runCluster(t, 30, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(10 * time.Second)
+			root := tc.agents[tc.controllerIndex()]
+			if isRefusing {
+				refusePart(is, root)
+			}
+			time.Sleep(time.Second)
+			root.mu.Lock()
+			before := root.tree.rotation
+			root.mu.Unlock()
+			root.sendTreeUpdate(time.Now(), false)
+			root.mu.Lock()
+			defer root.mu.Unlock()
+			is.Equal(root.tree.rotation, before+1)
+		})
+	}
+}
--- a/internal/agent/summary.go
+++ b/internal/agent/summary.go
@@ -204,8 +204,9 @@
 }
 
 // fetchConfigLater fetches and activates the configuration of the peer at an address after a
-// delay, or at once if the store does not answer this node. It does nothing if a fetch is already pending, or if this node has
-// read a configuration with at least that number from the store by then.
+// delay, or at once if the store does not answer this node. It does nothing if a fetch is
+// already pending, or if this node has read a configuration with at least that number from
+// the store by then.
 func (a *Agent) fetchConfigLater(from string, number int64) {
 	if a.config.ConfigFetcher == nil || !a.isFetchingConfig.CompareAndSwap(false, true) {
 		return
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -287,9 +287,7 @@
 		if parent == "" {
 			return 0
 		}
-		regular, extra := a.childAddresses()
-		neighbors := slices.Concat([]string{parent}, regular, extra)
-		return a.send(parent, digest.Message{Report: &report}) + a.repeatRefusals(neighbors, now)
+		return a.send(parent, digest.Message{Report: &report}) + a.repeatRefusals(append(a.allChildAddresses(), parent), now)
 	}
 	sent := a.forwardEntries(entries) // Before the summary, whose checksums include them.
 	summary := digest.Summary{
@@ -302,8 +300,7 @@
 	summary.Replicas, summary.NodesChecksum, summary.Requests, summary.Retries = report.Replicas, a.nodesChecksum(), report.Requests, report.Retries
 	a.applyReplicaStatuses(report.Replicas, now)
 	a.retryPool.Update(retry.Usage{Requests: report.Requests, Retries: report.Retries}, now.Add(retryPoolTTL))
-	regular, extra := a.childAddresses()
-	return sent + a.forwardSummary(summary) + a.repeatRefusals(append(regular, extra...), now)
+	return sent + a.forwardSummary(summary) + a.repeatRefusals(a.allChildAddresses(), now)
 }
 
 // nodesChecksum returns a checksum over the names of all nodes that this node
@@ -362,6 +359,28 @@
 func (a *Agent) childAddresses() (regular, extra []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	regular, extra = a.children()
+	// Rotate, so that the rate limit does not always leave out the same child.
+	a.tree.rotation++
+	if len(extra) > 0 {
+		first := a.tree.rotation % len(extra)
+		extra = append(extra[first:], extra[:first]...)
+	}
+	return regular, extra
+}
+
+// allChildAddresses returns the addresses of all children. Unlike childAddresses, it does not
+// move the rotation on.
+func (a *Agent) allChildAddresses() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	regular, extra := a.children()
+	return slices.Concat(regular, extra)
+}
+
+// children returns the addresses of the regular and of the extra children, the latter sorted.
+// The caller must hold mu.
+func (a *Agent) children() (regular, extra []string) {
 	regular = a.regularChildren()
 	for _, c := range a.tree.children {
 		if !slices.Contains(regular, c.address) {
@@ -369,11 +388,5 @@
 		}
 	}
 	sort.Strings(extra)
-	// Rotate, so that the rate limit does not always leave out the same child.
-	a.tree.rotation++
-	if len(extra) > 0 {
-		first := a.tree.rotation % len(extra)
-		extra = append(extra[first:], extra[:first]...)
-	}
 	return regular, extra
 }
--- a/internal/suspect/decide.go
+++ b/internal/suspect/decide.go
@@ -139,13 +139,19 @@
 // leastCauses returns how often servers must end under a part for it to be refused, while
 // others end at which it was not: the more of these, the more likely it was there by chance.
 func (v *evidence) leastCauses(e *entry, now time.Time) int {
-	var others []strike
+	others := slices.DeleteFunc(v.otherEnds(e, now), func(s strike) bool { return v.isExplained(s.process, true) })
+	return 2 + (causes(others)+2)/3
+}
+
+// otherEnds returns the ends of servers, lately, at which a subject was not.
+func (v *evidence) otherEnds(e *entry, now time.Time) []strike {
+	var out []strike
 	for _, s := range v.ends {
-		if now.Sub(s.at) < otherEndsTime && !e.has(s.process) && !v.isExplained(s.process, true) {
-			others = append(others, s)
+		if now.Sub(s.at) < otherEndsTime && !e.has(s.process) {
+			out = append(out, s)
 		}
 	}
-	return 2 + (causes(others)+2)/3
+	return out
 }
 
 // narrow leaves in a refusal of several subjects the one under which servers have ended since
@@ -286,12 +292,7 @@
 	case len(own.strikes) == maxStrikes:
 		return !v.hasRival(subjects, &own)
 	}
-	return own.strong() >= maxStrongStrikes && !v.hasOtherEnds(e, now) && !v.hasRival(subjects, &own)
-}
-
-// hasOtherEnds reports whether a server has ended lately at which the subject was not.
-func (v *evidence) hasOtherEnds(e *entry, now time.Time) bool {
-	return slices.ContainsFunc(v.ends, func(s strike) bool { return now.Sub(s.at) < otherEndsTime && !e.has(s.process) })
+	return own.strong() >= maxStrongStrikes && len(v.otherEnds(e, now)) == 0 && !v.hasRival(subjects, &own)
 }
 
 // hasRival reports whether something besides the subjects was at all servers that the strikes name.
--- a/internal/suspect/evidence.go
+++ b/internal/suspect/evidence.go
@@ -15,11 +15,11 @@
 	maxStrongStrikes = 2
 	// maxPartStrikes and maxStrongPartStrikes are those of a part. Many requests have it,
 	// so that it is at more servers that end for another reason.
-	maxPartStrikes = 5
+	maxPartStrikes       = 5
+	maxStrongPartStrikes = 3
 	// maxBlindStrikes is that of a part while no response to any request is complete or goes on,
 	// so that nothing shows which parts are sound.
-	maxBlindStrikes      = 5
-	maxStrongPartStrikes = 3
+	maxBlindStrikes = 5
 	// isolatedStrikes is the number of strong strikes from which requests are isolated.
 	isolatedStrikes = 2
 	// sameCauseTime is the time within which ends of servers count as one against a part: a
