gateway, platform, quota: what servers say of their rate limit is read, logged and counted

Event 417 tells when a limit begins and ends, at each node that gets such a response, 418 that one could not be read; a metric counts the responses that name one. Package quota keeps the latest observation of each incarnation of a server. No request is routed by it yet.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -52,12 +52,14 @@
 	GroupRecovered           = Kind{408, "group recovered", slog.LevelInfo}
 	ReplicaChanged           = Kind{409, "replica changed", slog.LevelInfo} // the controller decided to change a replica
 	ServerInspected          = Kind{410, "server inspected", slog.LevelInfo}
-	ServerPaused             = Kind{412, "server asked for a pause", slog.LevelInfo} // it turned a request away and wants no more from this node for a time
-	DomainSummary            = Kind{411, "domain summary", slog.LevelInfo}           // the replicas and the spare servers (those without a replica) of a fabric domain
-	ControllerLoad           = Kind{413, "controller load", slog.LevelInfo}          // how long decisions, calls and their results waited
-	RequestSuspected         = Kind{414, "request suspected", slog.LevelWarn}        // a backend server has ended under a request
-	SuspectRefused           = Kind{415, "suspect refused", slog.LevelWarn}          // too many backend servers have ended under the request
-	RefusalDecided           = Kind{416, "refusal decided", slog.LevelWarn}          // requests with the subjects are refused
+	ServerPaused             = Kind{412, "server asked for a pause", slog.LevelInfo}     // it turned a request away and wants no more from this node for a time
+	DomainSummary            = Kind{411, "domain summary", slog.LevelInfo}               // the replicas and the spare servers (those without a replica) of a fabric domain
+	ControllerLoad           = Kind{413, "controller load", slog.LevelInfo}              // how long decisions, calls and their results waited
+	RequestSuspected         = Kind{414, "request suspected", slog.LevelWarn}            // a backend server has ended under a request
+	SuspectRefused           = Kind{415, "suspect refused", slog.LevelWarn}              // too many backend servers have ended under the request
+	RefusalDecided           = Kind{416, "refusal decided", slog.LevelWarn}              // requests with the subjects are refused
+	ServerLimited            = Kind{417, "server rate limit changed", slog.LevelInfo}    // the requests a second that it takes from all nodes together
+	LimitUnreadable          = Kind{418, "server rate limit unreadable", slog.LevelWarn} // what was known before holds
 	RequestFailed            = Kind{501, "request failed", slog.LevelWarn}
 	AttemptFailed            = Kind{502, "attempt failed", slog.LevelInfo}
 	ClaimOutcomeNotRecorded  = Kind{503, "claim outcome not recorded", slog.LevelError} // the outcome of a non-idempotent request could not be stored
@@ -75,7 +77,7 @@
 		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored,
 		PeerFound, PeerLost, ControllerLeaseAcquired, ControllerLeaseLost, MembershipLeaseLost, PeerRecordInvalid, DigestNotSent, ConfigurationFetchFailed,
 		GroupRecordWritten, GroupRecordRejected, OrderSent, OrderFailed, OrderFenced, VMLeaving, CapacityChanged, GroupRecovered,
-		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused, RefusalDecided,
+		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused, RefusalDecided, ServerLimited, LimitUnreadable,
 		RequestFailed, AttemptFailed, ClaimOutcomeNotRecorded, StreamReplayed, ResponseMismatch,
 		RequestDone, StreamResumed, LinesDropped,
 	}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -107,6 +107,7 @@
 		req.mayHaveRun = true
 		return nil, &attemptError{stage: stageSent, err: fmt.Errorf("response to another request: %s", x.header.ID)}
 	}
+	f.recordLimit(req, server, x)
 	req.mayHaveRun = req.mayHaveRun || !x.header.NotRun
 	return x, nil
 }
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -15,6 +16,7 @@
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/fleet"
 	"eelgrassring.dev/internal/metric"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/retry"
 	"eelgrassring.dev/internal/route"
 	"eelgrassring.dev/internal/suspect"
@@ -108,6 +110,10 @@
 	stop     context.CancelFunc
 	// bodies bounds the memory for response bodies.
 	bodies *bodyMemory
+	// limits holds the servers' rate limits. unreadableAt is when a limit that could not be
+	// read was last logged.
+	limits       *quota.Registry
+	unreadableAt atomic.Pointer[time.Time]
 }
 
 // NewFront returns a Front. It registers the Front's counts of requests and retries
@@ -128,6 +134,7 @@
 		servers:   newServerStats(),
 		suspicion: newSuspicion(),
 		bodies:    newBodyMemory(maxRoutedBody, maxRoutedBodies),
+		limits:    &quota.Registry{},
 	}
 	f.selector = newReplicaSelector(c.Fleet, c.Node, f.mayTry)
 	return f
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -62,8 +63,16 @@
 
 func (testDialect) ReadAnswer(status int, h http.Header) ring.AnswerHeader {
 	pause, _ := time.ParseDuration(h.Get("T-Pause"))
+	limit := ring.RateLimit{}
+	if text := h.Get("T-Limit"); text != "" {
+		perSecond, err := strconv.ParseFloat(text, 64)
+		limit = ring.RateLimit{State: ring.RateLimited, PerSecond: perSecond}
+		if err != nil {
+			limit = ring.RateLimit{State: ring.RateUnreadable}
+		}
+	}
 	return ring.AnswerHeader{
-		ID: h.Get("T-Id"), NotRun: h.Get("T-NotRun") != "" || status == http.StatusMisdirectedRequest, Leaving: h.Get("T-Leaving") != "", Pause: pause,
+		ID: h.Get("T-Id"), NotRun: h.Get("T-NotRun") != "" || status == http.StatusMisdirectedRequest, Leaving: h.Get("T-Leaving") != "", Pause: pause, RateLimit: limit,
 	}
 }
 
--- a/route.go
+++ b/route.go
@@ -188,6 +188,29 @@
 	// Pause is how long the server, which turned the request away, wants no further
 	// requests from this node; 0 if it did not say.
 	Pause time.Duration
+	// RateLimit is how many requests the server takes from all nodes together.
+	RateLimit RateLimit
+}
+
+// RateLimitState says whether a response names a rate limit.
+type RateLimitState int
+
+// The states of a RateLimit.
+const (
+	// RateUnlimited: the response names no limit.
+	RateUnlimited RateLimitState = iota
+	// RateLimited: the response names a limit.
+	RateLimited
+	// RateUnreadable: the response names a limit that is not a number of requests.
+	RateUnreadable
+)
+
+// RateLimit is how many requests a second a backend server takes from all nodes
+// together, as a response says. It holds until another response says otherwise.
+type RateLimit struct {
+	State RateLimitState
+	// PerSecond is the limit, 0 or more, if State is RateLimited.
+	PerSecond float64
 }
 
 // Dialect reads and writes the headers by which callers, this system and backend
