--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -335,8 +335,13 @@
 
 // callNode makes one request to a node of several.
 func (h *frontHarness) callNode(n *partNode, body string, header ...string) (w *httptest.ResponseRecorder, broken bool) {
+	return h.callNodeAt(n, "/draft/x", body, header...)
+}
+
+// callNodeAt is callNode for a request target.
+func (h *frontHarness) callNodeAt(n *partNode, target, body string, header ...string) (w *httptest.ResponseRecorder, broken bool) {
 	w = httptest.NewRecorder()
-	return w, serveCallAt(n.front, w, newCall(context.Background(), "POST", "/draft/x", body, header...))
+	return w, serveCallAt(n.front, w, newCall(context.Background(), "POST", target, body, header...))
 }
 
 // serveCall serves a request and reports whether the response was aborted.
--- /dev/null
+++ b/internal/quota/gate.go
@@ -0,0 +1,247 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"eelgrassring.dev/internal/routing"
+)
+
+const (
+	// maxQueue bounds how far ahead permits are given.
+	maxQueue = time.Second
+	// AskTimeout is how long a node waits for the home node's reply.
+	AskTimeout = 40 * time.Millisecond
+	// unansweredDelay is how long a node sends nothing to a server after the home node did
+	// not reply, and otherHomeDelay after a node replied that it is not the home node.
+	unansweredDelay = 300 * time.Millisecond
+	otherHomeDelay  = 100 * time.Millisecond
+	// minDenial is the least time after a denial until the next try.
+	minDenial = 5 * time.Millisecond
+)
+
+// View is a node's knowledge of the members.
+type View struct {
+	// Self is the name of this node.
+	Self string
+	// Members are the names of the members. This node is none while it stops.
+	Members []string
+	// Version changes with Members.
+	Version uint64
+	// Share is the fraction of the limits that this node gives as a home node; see Share.
+	Share float64
+}
+
+// Share returns the fraction of a limit that a home node gives if it is in touch with the
+// given number of members, itself included, of all that are registered. The others may
+// have chosen another home node, which does the same.
+func Share(inTouch, registered int) float64 {
+	return float64(min(inTouch, registered)) / float64(max(registered, 1))
+}
+
+// Request asks a home node for a permit.
+type Request struct {
+	Server Key
+	// PerSecond is the server's limit as the sender knows it, and Age the time since it
+	// was observed.
+	PerSecond float64
+	Age       time.Duration
+	// MaxWait is the longest time until the permit may be used.
+	MaxWait time.Duration
+}
+
+// Result is the result of a Request.
+type Result int
+
+// The results.
+const (
+	// ResultGranted: the request may be sent after Reply.Wait.
+	ResultGranted Result = iota
+	// ResultDenied: another try may succeed after Reply.Wait.
+	ResultDenied
+	// ResultUnlimited: the limit has ended, Reply.Age ago.
+	ResultUnlimited
+)
+
+// Reply is a home node's reply to a Request.
+type Reply struct {
+	Result Result
+	Wait   time.Duration
+	Age    time.Duration
+}
+
+// Action is what a node does with a request to a server.
+type Action int
+
+// The actions.
+const (
+	// ActionSend: send the request at Decision.At.
+	ActionSend Action = iota
+	// ActionDeny: do not send it; another try may succeed at Decision.At.
+	ActionDeny
+	// ActionAsk: ask the node Decision.Home for a permit.
+	ActionAsk
+)
+
+// Decision says whether and when a request may be sent to a server.
+type Decision struct {
+	Action  Action
+	At      time.Time
+	Home    string
+	Request Request
+}
+
+// Gate decides when one node may send requests to limited servers, and gives the permits of
+// the servers that it is the home node of. It does no I/O: its caller sends the requests
+// for permits. It is safe for concurrent use.
+type Gate struct {
+	registry Registry
+	mu       sync.Mutex
+	meter    meter
+	// deniedUntil is when a permit of a server may next be had from its home node.
+	deniedUntil map[Key]time.Time
+	// homes holds the home nodes by the members of homesVersion.
+	homes        map[Key]string
+	homesVersion uint64
+}
+
+// NewGate returns a gate that knows of no limits.
+func NewGate() *Gate {
+	return &Gate{meter: meter{nextAt: map[Key]time.Time{}}, deniedUntil: map[Key]time.Time{}, homes: map[Key]string{}}
+}
+
+// Registry returns the observations by which the gate decides.
+func (g *Gate) Registry() *Registry { return &g.registry }
+
+// IsOpen reports whether a server is unlimited, so that no permit is needed.
+func (g *Gate) IsOpen(k Key, now time.Time) bool {
+	_, isLimited := g.registry.Limit(k, now)
+	return !isLimited
+}
+
+// IsHome reports whether the node is the home node of a server.
+func (g *Gate) IsHome(k Key, v View) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.homeOf(k, v) == v.Self
+}
+
+// homeOf returns the home node of a server; mu is held.
+func (g *Gate) homeOf(k Key, v View) string {
+	if g.homesVersion != v.Version {
+		clear(g.homes)
+		g.homesVersion = v.Version
+	}
+	home, known := g.homes[k]
+	if !known {
+		home = Home(k, v.Members)
+		g.homes[k] = home
+	}
+	return home
+}
+
+// Home returns which of the members is the home node of a server, or "" if there are none.
+func Home(k Key, members []string) string {
+	best, bestScore := "", uint64(0)
+	for _, name := range members {
+		score := routing.RendezvousScore(uint64(k), routing.Hash(name))
+		if best == "" || score > bestScore || (score == bestScore && name < best) {
+			best, bestScore = name, score
+		}
+	}
+	return best
+}
+
+// Decide returns whether a request may be sent to a server, at the latest after maxWait.
+// If it is to be sent, a permit is used.
+func (g *Gate) Decide(k Key, maxWait time.Duration, v View, now time.Time) Decision {
+	o, isLimited := g.registry.Limit(k, now)
+	if !isLimited {
+		return Decision{Action: ActionSend, At: now}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch home := g.homeOf(k, v); {
+	case home == v.Self:
+		at, ok := g.meter.reserve(k, rateOf(o, v), min(maxWait, maxQueue), now)
+		if !ok {
+			return Decision{Action: ActionDeny, At: at}
+		}
+		return Decision{Action: ActionSend, At: at}
+	case now.Before(g.deniedUntil[k]):
+		return Decision{Action: ActionDeny, At: g.deniedUntil[k]}
+	case home == "":
+		return Decision{Action: ActionDeny, At: now.Add(otherHomeDelay)}
+	default:
+		return Decision{Action: ActionAsk, Home: home, Request: Request{Server: k, PerSecond: o.PerSecond, Age: now.Sub(o.At), MaxWait: maxWait}}
+	}
+}
+
+// rateOf returns the rate at which a home node gives permits.
+func rateOf(o Observation, v View) float64 { return max(o.PerSecond, MinPerSecond) * v.Share }
+
+// Grant returns the reply to another node's request for a permit. Only the node that takes
+// itself for the home node gives one.
+func (g *Gate) Grant(r Request, v View, now time.Time) Reply {
+	g.registry.Observe(Observation{Server: r.Server, IsLimited: true, PerSecond: r.PerSecond, At: now.Add(-r.Age)})
+	o, isLimited := g.registry.Limit(r.Server, now)
+	if !isLimited {
+		return Reply{Result: ResultUnlimited, Age: now.Sub(o.At)}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.homeOf(r.Server, v) != v.Self {
+		return Reply{Result: ResultDenied, Wait: otherHomeDelay}
+	}
+	at, ok := g.meter.reserve(r.Server, rateOf(o, v), min(max(r.MaxWait, 0), maxQueue), now)
+	if !ok {
+		return Reply{Result: ResultDenied, Wait: max(at.Sub(now), minDenial)}
+	}
+	return Reply{Result: ResultGranted, Wait: at.Sub(now)}
+}
+
+// ApplyReply returns the decision that follows from a home node's reply to the request of
+// an ActionAsk.
+func (g *Gate) ApplyReply(k Key, r Reply, now time.Time) Decision {
+	switch r.Result {
+	case ResultGranted:
+		return Decision{Action: ActionSend, At: now.Add(r.Wait)}
+	case ResultUnlimited:
+		g.registry.Observe(Observation{Server: k, At: now.Add(-r.Age)})
+		return Decision{Action: ActionDeny, At: now}
+	default:
+		return g.deny(k, now.Add(r.Wait), now)
+	}
+}
+
+// Unanswered returns the decision that follows if the home node did not reply.
+func (g *Gate) Unanswered(k Key, now time.Time) Decision {
+	return g.deny(k, now.Add(unansweredDelay), now)
+}
+
+// deny records that no permit of a server is to be had for a time.
+func (g *Gate) deny(k Key, until, now time.Time) Decision {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for other, at := range g.deniedUntil {
+		if now.After(at) {
+			delete(g.deniedUntil, other)
+		}
+	}
+	g.deniedUntil[k] = until
+	return Decision{Action: ActionDeny, At: until}
+}
+
+// NextAt returns when a permit of a server may next be had, as far as this node knows.
+func (g *Gate) NextAt(k Key, v View, now time.Time) time.Time {
+	o, isLimited := g.registry.Limit(k, now)
+	if !isLimited {
+		return now
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.homeOf(k, v) == v.Self {
+		return later(g.meter.next(k, intervalOf(rateOf(o, v)), now), now)
+	}
+	return later(g.deniedUntil[k], now)
+}
--- /dev/null
+++ b/internal/quota/meter.go
@@ -0,0 +1,70 @@
+package quota
+
+import "time"
+
+// savedPermits is the number of permits that a server without requests saves.
+const savedPermits = 1
+
+// maxInterval bounds the time between two permits.
+const maxInterval = time.Hour
+
+// meterRetention is how long the schedule of a server is kept after its last permit.
+const meterRetention = time.Minute
+
+// meter gives the permits of limited servers, at their home node.
+type meter struct {
+	// nextAt is when the next permit of each server is due.
+	nextAt map[Key]time.Time
+}
+
+// reserve takes the next permit of a server with the given rate. It returns the time at
+// which the permit may be used, and false if that is later than maxWait from now: then it
+// takes no permit, and returns when another try may succeed.
+func (m *meter) reserve(k Key, perSecond float64, maxWait time.Duration, now time.Time) (time.Time, bool) {
+	interval := intervalOf(perSecond)
+	next := m.next(k, interval, now)
+	at := later(next, now)
+	if at.Sub(now) > maxWait {
+		return at.Add(-maxWait), false
+	}
+	m.nextAt[k] = next.Add(interval)
+	return at, true
+}
+
+// next returns when the next permit of a server is due, at the earliest so long ago that
+// savedPermits more are due at once. It begins the schedule of a server that is new.
+func (m *meter) next(k Key, interval time.Duration, now time.Time) time.Time {
+	next, known := m.nextAt[k]
+	if !known {
+		m.prune(now)
+		next = now.Add(interval)
+		m.nextAt[k] = next
+	}
+	// After a rise of the limit, permits that are due by the former one come sooner.
+	if latest := now.Add(maxQueue + interval); next.After(latest) {
+		next = latest
+	}
+	return later(next, now.Add(-savedPermits*interval))
+}
+
+// prune drops the schedules of servers that get no permits any more.
+func (m *meter) prune(now time.Time) {
+	for k, at := range m.nextAt {
+		if now.Sub(at) > meterRetention {
+			delete(m.nextAt, k)
+		}
+	}
+}
+
+// intervalOf returns the time between two permits at a rate.
+func intervalOf(perSecond float64) time.Duration {
+	return time.Duration(min(float64(time.Second)/perSecond, float64(maxInterval)))
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/internal/routing/picker.go
+++ b/internal/routing/picker.go
@@ -102,7 +102,7 @@
 	var bestScore uint64
 	for i := range candidates {
 		c := &candidates[i]
-		score := rendezvousScore(key, c.Hash)
+		score := RendezvousScore(key, c.Hash)
 		// Setting the score to zero instead of skipping the candidate avoids
 		// branches that the processor mispredicts.
 		if c.Load+1 > c.Capacity {
@@ -146,10 +146,11 @@
 	return mixBits(h)
 }
 
-// rendezvousScore returns the score of a group for a key; for each key, the groups are
-// ranked by their scores. Both arguments are hashes whose bits are already well mixed.
-func rendezvousScore(key, group uint64) uint64 {
-	x := (key ^ group) * 0xd6e8feb86659fd93
+// RendezvousScore returns the score of a candidate, such as a group or a node, for a key;
+// for each key, the candidates are ranked by their scores. Both arguments are hashes whose
+// bits are already well mixed.
+func RendezvousScore(key, candidate uint64) uint64 {
+	x := (key ^ candidate) * 0xd6e8feb86659fd93
 	return x ^ x>>32
 }
 
