gateway, agent, quota: servers that name a rate limit get no more from all nodes together

Class: a bound that many nodes share and each does not see, or would apply alone.

Each limited server has a home node, by rendezvous hashing over the members. It gives permits one by one at the limit; another node asks by one datagram, and waits for a permit that is due within the time that the request has. A node that is out of touch with some members gives only its fraction of the limit. A limit that begins or ends is told to all nodes at once and repeated to those that start; it goes by incarnation, and only a later response ends it. A server whose limit is 0 still gets a request every 5 s, so that it can say that it has ended. Every send needs a permit: first and second attempts, resumed streams, isolated suspects.

The price is that demand beyond the limits is served late or refused.

--- a/cmd/eelgrass/script_test.go
+++ b/cmd/eelgrass/script_test.go
@@ -20,6 +20,7 @@
 	"eelgrassring.dev/internal/gateway"
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/node"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/retry"
 	"eelgrassring.dev/internal/route"
 	"eelgrassring.dev/internal/standin/platform"
@@ -65,6 +66,7 @@
 type fakeAuthority struct{ table *route.Table }
 
 func (n fakeAuthority) Routing() *route.Table                                 { return n.table }
+func (fakeAuthority) Quota() *quota.Client                                    { return quota.NewClient(quota.Alone{}) }
 func (fakeAuthority) MayAcceptAPIKeys() bool                                  { return true }
 func (fakeAuthority) IsDraining() bool                                        { return false }
 func (fakeAuthority) NodeCount() int                                          { return 1 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -55,6 +55,7 @@
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/fleet"
 	"eelgrassring.dev/internal/mirror"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/retry"
 	"eelgrassring.dev/internal/route"
 	"eelgrassring.dev/internal/suspect"
@@ -205,6 +206,8 @@
 	// strikes are about to be sent to the peers. refusalsAt is when refusals are next repeated.
 	strikes    *strikeQueue
 	refusalsAt time.Time
+	// quota gets the permits for requests to limited servers.
+	quota *quota.Client
 	// retryPool holds the retry usage of all nodes together.
 	retryPool    *retry.Pool
 	draining     atomic.Bool
@@ -234,6 +237,7 @@
 	// though their heads are still registered as open.
 	abandoned []ring.Epoch
 	tree      tree
+	permits   permits
 	// isControllerKeyHeld is set while the controller's key exists in the store;
 	// isStateListed is set after the state prefix has been listed.
 	isControllerKeyHeld bool
@@ -252,6 +256,8 @@
 type peer struct {
 	address string
 	heardAt time.Time
+	// isDraining is set if the node said in its last digest that it is stopping.
+	isDraining bool
 }
 
 // New returns an agent for one node. It does nothing until Run is called.
@@ -259,11 +265,14 @@
 	if c.Suspects == nil {
 		c.Suspects = &suspect.Registry{}
 	}
-	return &Agent{
+	a := &Agent{
 		config: c, fleet: c.Fleet, log: c.Log, transport: c.Transport, startedAt: clock.NewInstant(), digestRequested: make(chan struct{}, 1),
 		extraChildLimiter: rate.NewLimiter(extraChildBytesPerSecond, extraChildBurst), urgentLimiter: rate.NewLimiter(urgentBytesPerSecond, urgentBurst), stateListLimiter: rate.NewLimiter(rate.Every(stateListInterval), 1), noticeLimiter: rate.NewLimiter(noticeBytesPerSecond, noticeBurst),
 		configReadLimiter: rate.NewLimiter(rate.Every(configReadInterval), 1), retryPool: &retry.Pool{}, strikes: newStrikeQueue(), peers: map[string]*peer{}, probes: map[uint64]chan digest.ProbeReply{}, probeAnswers: make(chan struct{}, maxProbeAnswers),
+		permits: newPermits(),
 	}
+	a.quota = quota.NewClient(a)
+	return a
 }
 
 // configuration is a parsed routing configuration and its text as stored.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -90,6 +90,8 @@
 	isolated map[string]bool
 	// drops reports whether a message to a node is dropped; nil means never.
 	drops func(to string, m digest.Message) bool
+	// isCut reports whether messages from one node to another are dropped; nil means never.
+	isCut func(from, to string) bool
 	// bytes and messages count what each node has sent since the last resetCounts.
 	bytes    map[string]int
 	messages map[string]int
@@ -109,6 +111,13 @@
 	n.drops = drops
 }
 
+// setCut sets the function that reports whether two nodes are cut off from each other.
+func (n *testNetwork) setCut(isCut func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.isCut = isCut
+}
+
 // rejoin reconnects an isolated node.
 func (n *testNetwork) rejoin(name string) {
 	n.mu.Lock()
@@ -151,7 +160,7 @@
 	t.network.bytes[t.address] += size
 	t.network.messages[t.address]++
 	to := t.network.transports[address]
-	if to == nil || t.network.isolated[t.address] || t.network.isolated[address] || (t.network.drops != nil && t.network.drops(address, m)) {
+	if to == nil || t.network.isolated[t.address] || t.network.isolated[address] || (t.network.drops != nil && t.network.drops(address, m)) || (t.network.isCut != nil && t.network.isCut(t.address, address)) {
 		return size - datagramOverhead, nil
 	}
 	from := t.address
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -208,7 +208,7 @@
 	for _, address := range addresses {
 		sent += a.send(address, message)
 	}
-	return sent + a.repeatRefusals(addresses, now)
+	return sent + a.repeatRefusals(addresses, now) + a.repeatLimits(addresses, now)
 }
 
 // AnnouncePrefill tells the peers that this node sent a replica a prompt with the given
@@ -280,6 +280,12 @@
 		a.applySound(*m.Sound)
 	case len(m.Refusals) > 0:
 		a.applyRefusals(from, m.Refusals)
+	case len(m.Limits) > 0:
+		a.applyLimits(m.Limits)
+	case m.PermitRequest != nil:
+		a.answerPermitRequest(from, m.PermitRequest)
+	case m.PermitReply != nil:
+		a.applyPermitReply(m.PermitReply)
 	case m.BucketListing != nil:
 		a.applyBucketListing(m.BucketListing)
 	case m.PrefillNotice != nil:
@@ -330,7 +336,7 @@
 		a.peers[d.Name] = p
 	}
 	wasLost := now.Sub(p.heardAt) > peerTimeout
-	p.heardAt, p.address = now, from
+	p.heardAt, p.address, p.isDraining = now, from, d.Draining
 	a.mu.Unlock()
 	if wasLost {
 		a.log.Write(event.PeerFound, slog.String("peer", d.Name), slog.String("incarnation", d.Incarnation))
--- /dev/null
+++ b/internal/agent/permits_test.go
@@ -0,0 +1,189 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"eelgrassring.dev/internal/digest"
+	"eelgrassring.dev/internal/quota"
+)
+
+// limitedServer is a server that names a limit in the tests below.
+var limitedServer = quota.KeyOf("s", "1")
+
+// nodesWithoutLimit counts the nodes that do not know that limitedServer is limited.
+func (tc *testCluster) nodesWithoutLimit() int {
+	count := 0
+	for _, a := range tc.agents {
+		if a.Quota().IsOpen(limitedServer, time.Now()) {
+			count++
+		}
+	}
+	return count
+}
+
+// observe lets a node get a response of limitedServer.
+func observe(a *Agent, isLimited bool, perSecond float64) {
+	a.Quota().Observe(quota.Observation{Server: limitedServer, IsLimited: isLimited, PerSecond: perSecond, At: time.Now()})
+}
+
+// TestLimitsReachAllNodes guards against nodes that send a limited server their first
+// requests because only others know its limit, and against nodes that hold back requests
+// after it has ended.
+func TestLimitsReachAllNodes(t *testing.T) {
+	for _, nodes := range []int{3, 30, 90} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(10 * time.Second)
+			observe(tc.agents[nodes-1], true, 4)
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(tc.nodesWithoutLimit(), 0)
+			observe(tc.agents[nodes/2], false, 0)
+			time.Sleep(100 * time.Millisecond)
+			is.Equal(tc.nodesWithoutLimit(), nodes)
+		})
+	}
+}
+
+// TestLimitsAreRepeated guards against nodes that never learn of a limit because its
+// datagram was lost.
+func TestLimitsAreRepeated(t *testing.T) {
+	for _, nodes := range []int{3, 90} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(10 * time.Second)
+			tc.network.setDrops(func(_ string, m digest.Message) bool { return len(m.Limits) > 0 })
+			for _, a := range tc.agents[:2] { // In the tree, at least one of two has heard of by the root's repetition.
+				observe(a, true, 4)
+			}
+			time.Sleep(300 * time.Millisecond)
+			is.True(tc.nodesWithoutLimit() > 0)
+			tc.network.setDrops(nil)
+			observe(tc.agents[nodes-1], true, 4)
+			time.Sleep(6 * time.Second)
+			is.Equal(tc.nodesWithoutLimit(), 0)
+		})
+	}
+}
+
+// TestNodeThatStartsLearnsLimits guards against a node that has just started and sends a
+// limited server requests, because it was not there when the limit began.
+func TestNodeThatStartsLearnsLimits(t *testing.T) {
+	for _, nodes := range []int{3, 30} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(10 * time.Second)
+			observe(tc.agents[0], true, 4)
+			time.Sleep(time.Second)
+			ctx, cancel := context.WithCancel(context.Background())
+			var wait sync.WaitGroup
+			tc.startNode(ctx, &wait, "z")
+			time.Sleep(4 * time.Second)
+			is.Equal(tc.nodesWithoutLimit(), 0)
+			cancel()
+			wait.Wait()
+		})
+	}
+}
+
+// permitLog holds the times at which nodes may send requests to a server.
+type permitLog struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+// mostIn returns the largest number of requests in a window, from a time on.
+func (l *permitLog) mostIn(window time.Duration, from time.Time) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	slices.SortFunc(l.times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range l.times {
+		for l.times[first].Before(from) || at.Sub(l.times[first]) > window {
+			if first++; first > i {
+				break
+			}
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// sendPermitted lets each node try to send demand requests a second to limitedServer for a
+// time, whose responses name the limit perSecond.
+func (tc *testCluster) sendPermitted(perSecond, demand float64, lasts time.Duration) *permitLog {
+	var log permitLog
+	var wait sync.WaitGroup
+	for i, a := range tc.agents {
+		wait.Go(func() {
+			random := rand.New(rand.NewPCG(uint64(i), 5))
+			for end := time.Now().Add(lasts); time.Now().Before(end); {
+				time.Sleep(time.Duration(random.ExpFloat64() / demand * float64(time.Second)))
+				at, ok := a.Quota().Acquire(context.Background(), limitedServer, 100*time.Millisecond)
+				if !ok {
+					continue
+				}
+				time.Sleep(time.Until(at))
+				log.mu.Lock()
+				log.times = append(log.times, time.Now())
+				log.mu.Unlock()
+				observe(a, true, perSecond)
+			}
+		})
+	}
+	wait.Wait()
+	return &log
+}
+
+// TestNodesTogetherStayWithinALimit guards against nodes that together send a server many
+// times the requests that it takes, because each gives its own permits.
+func TestNodesTogetherStayWithinALimit(t *testing.T) {
+	const perSecond, window = 4, 4 * time.Second
+	for _, nodes := range []int{1, 3, 30, 90} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(10 * time.Second)
+			observe(tc.agents[0], true, perSecond)
+			time.Sleep(100 * time.Millisecond)
+			begin := time.Now()
+			log := tc.sendPermitted(perSecond, 12/float64(nodes), 20*time.Second)
+			most := log.mostIn(window, begin)
+			if most > perSecond*4+2 {
+				t.Errorf("%d nodes: %d requests in %s", nodes, most, window)
+			}
+			if used := float64(len(log.times)) / (perSecond * 20); used < 0.8 {
+				t.Errorf("%d nodes: %.2f of the permits are used", nodes, used)
+			}
+		})
+	}
+}
+
+// TestSplitNodesStayWithinALimit guards against nodes that are cut off from each other and
+// choose a home node on each side of the cut, which together give twice the limit.
+func TestSplitNodesStayWithinALimit(t *testing.T) {
+	const perSecond, window = 4, 4 * time.Second
+	for _, nodes := range []int{6, 30} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(10 * time.Second)
+			observe(tc.agents[0], true, perSecond)
+			time.Sleep(100 * time.Millisecond)
+			isLeft := map[string]bool{}
+			for i := range nodes / 2 {
+				isLeft[nodeName(i)] = true
+			}
+			tc.network.setCut(func(from, to string) bool { return isLeft[from] != isLeft[to] })
+			begin := time.Now()
+			log := tc.sendPermitted(perSecond, 24/float64(nodes), 20*time.Second)
+			if most := log.mostIn(window, begin); float64(most) > 1.5*perSecond*window.Seconds()+5 {
+				t.Errorf("%d nodes: %d requests in %s", nodes, most, window)
+			}
+		})
+	}
+}
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -199,6 +199,37 @@
 	Late          bool
 }
 
+// Limit is what a response said of how many requests a second its server takes from all
+// nodes together, AgeMillis ago. Server identifies an incarnation of a server; see
+// quota.Key.
+type Limit struct {
+	_         struct{} `cbor:",toarray"`
+	Server    uint64
+	IsLimited bool
+	PerSecond float32
+	AgeMillis int64
+}
+
+// PermitRequest asks the home node of a limited server for a permit to send one request
+// there; see package quota. ID is repeated in the PermitReply.
+type PermitRequest struct {
+	_          struct{} `cbor:",toarray"`
+	ID         uint64
+	Server     uint64
+	PerSecond  float32
+	AgeMillis  int64
+	WaitMillis int64
+}
+
+// PermitReply answers a PermitRequest. Result is a quota.Result.
+type PermitReply struct {
+	_          struct{} `cbor:",toarray"`
+	ID         uint64
+	Result     uint8
+	WaitMillis int64
+	AgeMillis  int64
+}
+
 // Message is the content of one datagram; exactly one field is set.
 type Message struct {
 	Digest         *Digest         `cbor:"1,keyasint,omitempty"`
@@ -215,6 +246,10 @@
 	// Refusals holds the sender's refusals. It is sent with each digest, report and summary
 	// while there are any, so that a node that has just started learns of them.
 	Refusals []Refusal `cbor:"12,keyasint,omitempty"`
+	// Limits holds limits that have begun or ended, or some of those that the sender knows.
+	Limits        []Limit        `cbor:"13,keyasint,omitempty"`
+	PermitRequest *PermitRequest `cbor:"14,keyasint,omitempty"`
+	PermitReply   *PermitReply   `cbor:"15,keyasint,omitempty"`
 }
 
 // Transport sends and receives messages between nodes over a UDP socket.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -322,6 +322,8 @@
 	// Prefill is how long the replica still takes to prefill the prompts that it
 	// was sent.
 	Prefill time.Duration
+	// SendAt is when the request may be sent, if the head is limited.
+	SendAt time.Time
 }
 
 // Candidates returns the replicas of a service's model that may get a request
@@ -339,6 +341,18 @@
 	return out
 }
 
+// MayGetRequests reports whether a replica may still get requests.
+func (f *Fleet) MayGetRequests(r Replica, now time.Time) bool {
+	f.rLockReplicas()
+	defer f.mu.RUnlock()
+	for _, current := range f.replicas {
+		if current.Epoch == r.Epoch {
+			return f.exclusionReason(current, now) == ReasonNone
+		}
+	}
+	return false
+}
+
 // candidateFor returns a replica with its request load and pending prefill; mu is
 // held.
 func (f *Fleet) candidateFor(r Replica, now time.Time) Candidate {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -74,6 +74,8 @@
 	// AnnouncePrefill tells the peers that this node sent a replica a prompt with the
 	// given prefill time.
 	AnnouncePrefill(e ring.Epoch, prefill time.Duration)
+	// Quota returns the client that gets permits for requests to servers with a rate limit.
+	Quota() *quota.Client
 }
 
 // FrontConfig configures a Front.
@@ -110,9 +112,9 @@
 	stop     context.CancelFunc
 	// bodies bounds the memory for response bodies.
 	bodies *bodyMemory
-	// limits holds the servers' rate limits. unreadableAt is when a limit that could not be
-	// read was last logged.
-	limits       *quota.Registry
+	// permits gets the permits for requests to servers with a rate limit. unreadableAt is
+	// when a limit that could not be read was last logged.
+	permits      *quota.Client
 	unreadableAt atomic.Pointer[time.Time]
 }
 
@@ -134,7 +136,7 @@
 		servers:   newServerStats(),
 		suspicion: newSuspicion(),
 		bodies:    newBodyMemory(maxRoutedBody, maxRoutedBodies),
-		limits:    &quota.Registry{},
+		permits:   c.Node.Quota(),
 	}
 	f.selector = newReplicaSelector(c.Fleet, c.Node, f.mayTry)
 	return f
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -25,6 +25,7 @@
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/fleet"
 	"eelgrassring.dev/internal/metric"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/retry"
 	"eelgrassring.dev/internal/route"
 	"eelgrassring.dev/internal/suspect"
@@ -94,6 +95,17 @@
 	// strikes are those of the calls of AnnounceStrike. They are added to peers.
 	strikes []suspect.Strike
 	peers   []*suspect.Registry
+	quota   *quota.Client
+}
+
+// Quota returns a client for a node that is alone, unless the test has set one.
+func (n *testNode) Quota() *quota.Client {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.quota == nil {
+		n.quota = quota.NewClient(quota.Alone{})
+	}
+	return n.quota
 }
 
 func (n *testNode) Routing() *route.Table {
--- a/internal/gateway/frontlimit_test.go
+++ b/internal/gateway/frontlimit_test.go
@@ -132,3 +132,109 @@
 		}
 	}
 }
+
+// TestLimitedServersAreUsed guards against nodes that avoid a limited server altogether, or
+// refuse requests that it would take.
+func TestLimitedServersAreUsed(t *testing.T) {
+	for seed, d := range []limitDay{
+		{target: "/draft/x", limited: []string{"e1", "e2", "e3", "e4"}, perSecond: 5, demand: 40},
+		{target: "/write/x", limited: []string{"a", "b", "c"}, perSecond: 5, demand: 30},
+	} {
+		d.seed, d.begin, d.end, d.lasts = uint64(seed), 0, time.Hour, 14*time.Second
+		out := d.play(t)
+		if could := d.perSecond * float64(len(d.limited)) * d.lasts.Seconds(); float64(out.served) < 0.85*could {
+			t.Errorf("%s: %d requests were served, the limits allow %.0f", d.target, out.served, could)
+		}
+		if bound := 450 * time.Millisecond; out.heldLongest > bound {
+			t.Errorf("%s: a request was refused after %s, want at most %s", d.target, out.heldLongest, bound)
+		}
+	}
+}
+
+// TestLimitThatHasEndedIsLifted guards against a server that gets few requests for ever,
+// because it was told to be left alone and so has no response in which to say otherwise.
+func TestLimitThatHasEndedIsLifted(t *testing.T) {
+	for _, perSecond := range []float64{0, 2} {
+		d := limitDay{seed: 1, target: "/draft/x", limited: []string{"e1", "e2", "e3"}, perSecond: perSecond, demand: 60, end: 6 * time.Second, lasts: 22 * time.Second}
+		out := d.play(t)
+		for _, server := range d.limited {
+			if got := out.mostIn(server, 16*time.Second, d.lasts); got < 30 {
+				t.Errorf("limit %g: server %s got %d requests in %s after its limit has ended", perSecond, server, got, limitWindow)
+			}
+		}
+	}
+}
+
+// TestLimitOfZeroIsAPause guards against a server that says that it takes no requests, and
+// gets more than the few that let it say that it does again.
+func TestLimitOfZeroIsAPause(t *testing.T) {
+	d := limitDay{seed: 1, target: "/read/x", limited: []string{"a", "b"}, demand: 60, end: time.Hour, lasts: 20 * time.Second}
+	out := d.play(t)
+	for _, server := range d.limited {
+		if got := out.mostIn(server, limitContact, d.lasts); got == 0 || got > limitSlack {
+			t.Errorf("server %s got %d requests in %s, want 1 to %d", server, got, limitWindow, limitSlack)
+		}
+	}
+}
+
+// TestOtherResponsesDoNotChangeALimit guards against a limit that is lifted by a response that
+// cannot be read, or of another server at the same address, or of another request.
+func TestOtherResponsesDoNotChangeALimit(t *testing.T) {
+	for name, second := range map[string]func(c net.Conn){
+		"unreadable": func(c net.Conn) { respond(c, 200, "id1", "done", "T-Limit: many\r\n") },
+		"other server": func(c net.Conn) {
+			respond(c, 421, "id1", "")
+		},
+		"other request": func(c net.Conn) { respond(c, 200, "id0", "done") },
+	} {
+		withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+			first := ""
+			h.handle = func(server string, n int, _ receivedRequest, c net.Conn) {
+				switch {
+				case n == 1:
+					first = server
+					respond(c, 200, "id1", "done", "T-Limit: 1\r\n")
+				case server == first:
+					second(c)
+				default:
+					respond(c, 200, "id1", "done")
+				}
+			}
+			for range 100 {
+				h.call("POST", "/read/x", "x")
+				time.Sleep(40 * time.Millisecond)
+			}
+			if got := h.countRequests(0)[first]; got > 6 {
+				t.Errorf("%s: the server got %d requests in 4 s, want at most 6", name, got)
+			}
+		})
+	}
+}
+
+// TestCallersAreToldWhenALimitedServerHasRoom guards against requests that wait although no
+// permit can be had in time, and callers that return together.
+func TestCallersAreToldWhenALimitedServerHasRoom(t *testing.T) {
+	for _, target := range []string{"/read/x", "/draft/x"} {
+		withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+			h.handle = func(_ string, _ int, _ receivedRequest, c net.Conn) {
+				respond(c, 200, "id1", "done", "T-Limit: 0.5\r\n")
+			}
+			for range 12 { // Each server names its limit.
+				h.call("POST", target, "x")
+			}
+			retries := map[string]bool{}
+			for range 8 {
+				begin := time.Now()
+				w, _ := h.call("POST", target, "x")
+				is.Equal(w.Code, 503)
+				is.Equal(w.Header().Get(headerCode), "2002")
+				is.True(time.Since(begin) < 20*time.Millisecond)
+				wait, err := time.ParseDuration(w.Header().Get("T-Retry"))
+				is.NoErr(err)
+				is.True(wait <= 2*time.Second+busyRetryAfter)
+				retries[w.Header().Get("T-Retry")] = true
+			}
+			is.True(len(retries) > 4)
+		})
+	}
+}
--- a/internal/gateway/frontpart_test.go
+++ b/internal/gateway/frontpart_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -16,6 +17,7 @@
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/metric"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/route"
 	"eelgrassring.dev/internal/suspect"
 )
@@ -103,10 +105,41 @@
 type partNode struct {
 	*testNode
 	front  *Front
+	name   string
 	known  *suspect.Registry
+	quota  *quota.Client
 	others []*partNode
 }
 
+func (n *partNode) Quota() *quota.Client { return n.quota }
+
+// QuotaView implements quota.Cluster.
+func (n *partNode) QuotaView(time.Time) quota.View {
+	v := quota.View{Self: n.name, Members: []string{n.name}, Share: 1, Version: 1}
+	for _, other := range n.others {
+		v.Members = append(v.Members, other.name)
+	}
+	return v
+}
+
+// AskPermit implements quota.Cluster.
+func (n *partNode) AskPermit(_ context.Context, home string, r quota.Request) (quota.Reply, bool) {
+	for _, other := range n.others {
+		if other.name == home {
+			time.Sleep(partNodeLatency)
+			reply := other.quota.Gate().Grant(r, other.QuotaView(time.Now()), time.Now())
+			time.Sleep(partNodeLatency)
+			return reply, true
+		}
+	}
+	return quota.Reply{}, false
+}
+
+// AnnounceLimit implements quota.Cluster.
+func (n *partNode) AnnounceLimit(o quota.Observation) {
+	n.tell(func(to *partNode) { to.quota.Gate().Registry().Observe(o) })
+}
+
 // partNodeLatency is the time that a message between two nodes takes.
 const partNodeLatency = 2 * time.Millisecond
 
@@ -296,7 +329,8 @@
 func (h *frontHarness) addPartNodes(count int) []*partNode {
 	nodes := make([]*partNode, count)
 	for i := range nodes {
-		nodes[i] = &partNode{testNode: h.node, known: &suspect.Registry{}}
+		nodes[i] = &partNode{testNode: h.node, name: fmt.Sprint("n", i), known: &suspect.Registry{}}
+		nodes[i].quota = quota.NewClient(nodes[i])
 		nodes[i].front = NewFront(FrontConfig{
 			Node: nodes[i], Fleet: h.fleet, Dialect: testDialect{}, Log: event.NewLog(slog.New(slog.DiscardHandler)), Metrics: metric.New(),
 			RetryRatio: 1, RetryBurst: 100, Dial: h.dial, Suspects: nodes[i].known,
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -119,6 +119,14 @@
 	record.meanSeconds += latencySmoothing * (duration.Seconds() - record.meanSeconds)
 }
 
+// cancel ends a request that acquire counted at a server and that was not sent.
+func (r *serverStats) cancel(s ring.Server) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record := r.recordOf(s)
+	record.inFlight = max(record.inFlight-1, 0)
+}
+
 // retryBudgets holds the retry budget of each service, which limits how many of its
 // requests are retried.
 type retryBudgets struct {
@@ -222,7 +230,7 @@
 		if failure := f.refuseSuspect(req); failure != nil {
 			return failure
 		}
-		server, ok := p.nextServer()
+		server, ok := p.nextServer(ctx)
 		if !ok {
 			break
 		}
@@ -240,16 +248,18 @@
 
 // nextServer returns the server for the next attempt, at which it has counted a request
 // in flight. It returns false if there is none, or if the retry budget is spent.
-func (p *plainRelay) nextServer() (ring.Server, bool) {
+func (p *plainRelay) nextServer(ctx context.Context) (ring.Server, bool) {
 	if p.next != nil {
 		server := *p.next
 		p.next = nil
 		return server, true
 	}
-	f, req, now := p.front, p.request, time.Now()
-	server, ok := f.servers.acquire(f.config.Fleet.AvailableServers(req.service.Name, now), p.tried, now)
+	f, req, start := p.front, p.request, time.Now()
+	maxWait := min(time.Duration(plainWaitFraction*float64(req.route.LatencyTarget)), time.Until(req.deadline)-minRetryDelay)
+	server, ok := f.acquireServer(ctx, req, p.tried, max(maxWait, 0))
+	req.queuedFor += time.Since(start)
 	if ok && req.attempts > 0 && !f.budgets.take(req.service) {
-		f.servers.release(server, 0, 0, now)
+		f.servers.cancel(server)
 		req.note = retryBudgetSpent
 		return ring.Server{}, false
 	}
@@ -259,7 +269,7 @@
 // reserveNext reserves a server for an attempt that replaces the current one. It
 // returns false if the request may not be sent again, or if no server can take it. It
 // runs beside the attempt, and sees the request only as in probe, its own copy.
-func (p *plainRelay) reserveNext(probe *frontRequest) bool {
+func (p *plainRelay) reserveNext(ctx context.Context, probe *frontRequest) bool {
 	f, now := p.front, time.Now()
 	if probe.deadline.Sub(now) < minRetryDelay || f.recheck(probe) != nil || !f.budgets.allows(probe.service) {
 		return false
@@ -269,12 +279,12 @@
 	if failure != nil {
 		return false
 	}
-	server, ok := f.servers.acquire(f.config.Fleet.AvailableServers(probe.service.Name, now), p.tried, now)
+	server, ok := f.acquireServer(ctx, probe, p.tried, 0)
 	if !ok {
 		return false
 	}
 	if !f.budgets.take(probe.service) {
-		f.servers.release(server, 0, 0, now)
+		f.servers.cancel(server)
 		return false
 	}
 	p.next = &server
@@ -284,7 +294,7 @@
 // releaseNext gives back a reserved server that is not needed.
 func (p *plainRelay) releaseNext() {
 	if p.next != nil {
-		p.front.servers.release(*p.next, 0, 0, time.Now())
+		p.front.servers.cancel(*p.next)
 		p.next = nil
 	}
 }
@@ -301,9 +311,12 @@
 func (f *Front) withPauseEnd(req *frontRequest, lastFailure *ring.Failure) *ring.Failure {
 	now := time.Now()
 	until, arePaused := f.config.Fleet.ServersPausedUntil(req.service.Name, now)
+	permitAt, areLimited := f.serversDeniedUntil(req.service.Name, now)
 	switch {
 	case lastFailure == nil && arePaused:
 		return ring.FailRetryAt(ring.CodeOverloaded, until, "all servers of service %s asked for a pause", req.service.Name)
+	case lastFailure == nil && areLimited:
+		return ring.FailRetryAt(ring.CodeOverloaded, spreadRetry(permitAt), "all servers of service %s get as many requests as they take", req.service.Name)
 	case lastFailure == nil:
 		return ring.FailRetryAt(ring.CodeUnreachable, now.Add(busyRetryAfter), "service %s has no available server", req.service.Name)
 	case arePaused && !lastFailure.RetryAt.IsZero():
@@ -320,7 +333,7 @@
 	}
 	delay := max(time.Duration(retryFraction*float64(p.request.route.LatencyTarget)), minRetryDelay)
 	probe := p.request.probe()
-	return watchSilence(ctx, delay, stallCheckInterval, func() bool { return p.reserveNext(probe) })
+	return watchSilence(ctx, delay, stallCheckInterval, func() bool { return p.reserveNext(ctx, probe) })
 }
 
 // attempt sends the request to a server once and forwards the response. It returns a
@@ -383,8 +396,9 @@
 // hasOtherServer reports whether the request's service has a server other than the
 // given one that may get requests.
 func (f *Front) hasOtherServer(req *frontRequest, except ring.Server) bool {
-	for _, s := range f.config.Fleet.AvailableServers(req.service.Name, time.Now()) {
-		if s.ID != except.ID {
+	now := time.Now()
+	for _, s := range f.config.Fleet.AvailableServers(req.service.Name, now) {
+		if s.ID != except.ID && !f.permits.IsDenied(keyOf(s), 0, now) {
 			return true
 		}
 	}
--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -155,7 +155,7 @@
 // returns false if the request may not be sent again, or if no replica has room. It
 // runs beside the attempt, and sees the request only as in probe, its own copy. rank is
 // that of chooseWithin.
-func (o *replicaRelay) reserveNext(probe *frontRequest, rank float64) bool {
+func (o *replicaRelay) reserveNext(ctx context.Context, probe *frontRequest, rank float64) bool {
 	f, now := o.front, time.Now()
 	if probe.deadline.Sub(now) < resumeMargin || f.recheck(probe) != nil || !f.budgets.allows(probe.service) {
 		return false
@@ -165,7 +165,7 @@
 	if !mayTry || failure != nil {
 		return false
 	}
-	c, _, ok := f.selector.tryAcquire(probe, o.tried, f.selector.prefillTime(probe), rank, now)
+	c, _, ok := f.selector.tryAcquire(ctx, probe, o.tried, f.selector.prefillTime(probe), rank, 0, now)
 	if !ok {
 		return false
 	}
@@ -222,7 +222,7 @@
 			return false
 		}
 		f.reportStall(g)
-		return o.reserveNext(probe, rank)
+		return o.reserveNext(ctx, probe, rank)
 	})
 }
 
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -6,7 +6,9 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/fleet"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/routing"
 )
 
@@ -48,10 +50,12 @@
 	node  FrontNode
 	// mayTry reports whether a request may be sent now, or a failure if it never may.
 	mayTry func(req *frontRequest) (bool, *ring.Failure)
+	// permits gets the permits for requests to limited heads.
+	permits *quota.Client
 }
 
 func newReplicaSelector(f *fleet.Fleet, n FrontNode, mayTry func(*frontRequest) (bool, *ring.Failure)) *replicaSelector {
-	return &replicaSelector{fleet: f, node: n, mayTry: mayTry}
+	return &replicaSelector{fleet: f, node: n, mayTry: mayTry, permits: n.Quota()}
 }
 
 // prefillTime returns the estimated prefill time of the request's prompt.
@@ -119,15 +123,23 @@
 			return fleet.Replica{}, failure
 		}
 		var c fleet.Candidate
-		candidates, ok := 1, false
+		var candidates []fleet.Candidate
+		ok := false
 		if mayTry {
-			c, candidates, ok = s.tryAcquire(req, tried, prefill, rank, now)
+			c, candidates, ok = s.tryAcquire(ctx, req, tried, prefill, rank, s.maxPermitWait(req, prefill, deadline, now), now)
 		}
-		if ok {
-			req.queuedFor += now.Sub(start)
+		if ok && s.awaitPermit(ctx, c) {
+			req.queuedFor += time.Since(start)
 			s.assign(req, c, prefill)
 			return c.Replica, nil
 		}
+		if ok {
+			continue
+		}
+		if until, areLimited := s.permitsUntil(candidates, now); areLimited && until.After(deadline) {
+			req.queuedFor += now.Sub(start)
+			return fleet.Replica{}, ring.FailRetryAt(ring.CodeOverloaded, spreadRetry(until), "all replicas of model %q get as many requests as they take", req.header.Model)
+		}
 		if until, arePaused := s.fleet.ReplicasPausedUntil(req.service.Name, req.header.Model, now); arePaused && until.After(deadline) {
 			req.queuedFor += now.Sub(start)
 			return fleet.Replica{}, ring.FailRetryAt(ring.CodeOverloaded, until, "all replicas of model %q asked for a pause", req.header.Model)
@@ -137,27 +149,60 @@
 			return fleet.Replica{}, ring.Fail(ring.CodeDeadline, "the caller disconnected, or the node is stopping")
 		case <-timer.C:
 			req.queuedFor += time.Since(start)
-			return fleet.Replica{}, s.capacityFailure(req, candidates)
+			return fleet.Replica{}, s.capacityFailure(req, mayTry && len(candidates) == 0)
 		case <-changed:
 		case <-poll.C:
 		}
 	}
 }
 
-// tryAcquire is acquire without waiting. It also returns how many replicas of the model
-// take requests, and false if none of them has room for this one.
-func (s *replicaSelector) tryAcquire(req *frontRequest, tried map[ring.Group]bool, prefill time.Duration, rank float64, now time.Time) (fleet.Candidate, int, bool) {
+// tryAcquire is acquire without waiting for capacity. It also returns the replicas of the
+// model that take requests, and false if none of them has room for this one. If it returns
+// a replica with a limited head, it has a permit that may be used within maxWait.
+func (s *replicaSelector) tryAcquire(ctx context.Context, req *frontRequest, tried map[ring.Group]bool, prefill time.Duration, rank float64, maxWait time.Duration, now time.Time) (fleet.Candidate, []fleet.Candidate, bool) {
 	candidates := s.fleet.Candidates(req.service.Name, req.header.Model, tried, now)
-	limit := s.limitFor(req, prefill, now)
-	choose := func() (fleet.Candidate, bool) { return s.chooseWithin(candidates, limit, rank) }
-	if req.isIsolated {
-		choose = func() (fleet.Candidate, bool) { return chooseIsolated(candidates, limit) }
-	}
-	c, ok := choose()
+	c, ok := s.choose(ctx, req, candidates, s.limitFor(req, prefill, now), rank, maxWait, now)
 	if ok {
 		s.fleet.BeginRequest(c.Replica, prefill, now)
 	}
-	return c, len(candidates), ok
+	return c, candidates, ok
+}
+
+// choose selects one of the candidates within the limit, with a permit if its head is
+// limited, or returns false if there is none.
+func (s *replicaSelector) choose(ctx context.Context, req *frontRequest, candidates []fleet.Candidate, limit replicaLimit, rank float64, maxWait time.Duration, now time.Time) (fleet.Candidate, bool) {
+	if req.isIsolated {
+		c, ok := chooseIsolated(candidates, limit)
+		if ok {
+			c.SendAt, ok = s.permits.Acquire(ctx, keyOf(c.Replica.Head), maxWait)
+		}
+		return c, ok
+	}
+	if s.permits.IsUnused() {
+		return s.chooseWithin(candidates, limit, rank)
+	}
+	open, limited := s.splitLimited(candidates, maxWait, now)
+	if c, ok := s.chooseOwn(ctx, open, limited, limit, now); ok {
+		return c, true
+	}
+	if c, ok := s.chooseWithin(open, limit, rank); ok {
+		return c, true
+	}
+	return s.chooseLimited(ctx, limited, limit, maxWait)
+}
+
+// awaitPermit waits until the permit for a candidate may be used. It returns false and gives
+// up the candidate if it takes no requests then, or if the context ends first.
+func (s *replicaSelector) awaitPermit(ctx context.Context, c fleet.Candidate) bool {
+	wait := time.Until(c.SendAt)
+	if wait <= 0 {
+		return true
+	}
+	if clock.Sleep(ctx, wait) && s.fleet.MayGetRequests(c.Replica, time.Now()) {
+		return true
+	}
+	s.fleet.EndRequest(c.Replica.Group, false)
+	return false
 }
 
 // assign records in the request that it goes to the replica, and tells the peers of a
@@ -219,11 +264,11 @@
 	return replicaLimit{maxLoad: s.maxLoad(req), maxPrefill: remaining + latencyTargetSlack}
 }
 
-// capacityFailure returns the failure of a request that found no replica in time;
-// candidates is the number of replicas of the model that currently take requests.
-func (s *replicaSelector) capacityFailure(req *frontRequest, candidates int) *ring.Failure {
+// capacityFailure returns the failure of a request that found no replica in time. isUnserved
+// is set if no replica of the model currently takes requests.
+func (s *replicaSelector) capacityFailure(req *frontRequest, isUnserved bool) *ring.Failure {
 	retryAt := time.Now().Add(overloadRetryAfter + rand.N(overloadRetryAfter))
-	if candidates == 0 {
+	if isUnserved {
 		return ring.FailRetryAt(ring.CodeNoGroup, retryAt, "no replica currently serves model %q", req.header.Model)
 	}
 	return ring.FailRetryAt(ring.CodeOverloaded, retryAt, "all replicas of model %q are at capacity", req.header.Model)
