gateway, node, peer: heads of declared groups and servers of services name rate limits, too

The header is Eelgrass-Rate-Limit. A request for which no group has both a slot and a permit stays in the fair queue until its deadline; a call to a service that gets no permit in time is refused as not run, and its claim is released.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -27,6 +27,9 @@
 	HeaderOffset = "Eelgrass-Offset"
 	// HeaderPriority carries the priority of the calling application.
 	HeaderPriority = "Eelgrass-Priority"
+	// HeaderRateLimit names in a response how many requests a second the backend server
+	// takes from all nodes together.
+	HeaderRateLimit = "Eelgrass-Rate-Limit"
 	// HeaderRan is "no" in a response if the backend server did not run the request.
 	HeaderRan = "Eelgrass-Ran"
 )
--- a/internal/fake/peers.go
+++ b/internal/fake/peers.go
@@ -7,6 +7,7 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/node"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/reservation"
 )
 
@@ -55,6 +56,15 @@
 	return peer.Node.GrantSlot(g, holder), nil
 }
 
+// AskPermit implements node.PeerClient.
+func (p *peerClient) AskPermit(ctx context.Context, address string, r quota.Request) (quota.Reply, error) {
+	peer, err := p.connect(ctx, address)
+	if err != nil {
+		return quota.Reply{}, err
+	}
+	return peer.Node.GrantPermit(r), nil
+}
+
 // UpdateSlots implements node.PeerClient.
 func (p *peerClient) UpdateSlots(ctx context.Context, address, holder string, updates node.SlotUpdates) error {
 	peer, err := p.connect(ctx, address)
--- a/internal/fake/system.go
+++ b/internal/fake/system.go
@@ -16,6 +16,7 @@
 	"eelgrassring.dev/internal/node"
 	standin "eelgrassring.dev/internal/standin/engine"
 	"eelgrassring.dev/internal/standin/platform"
+	"eelgrassring.dev/internal/standin/ratelimit"
 	"eelgrassring.dev/internal/standin/service"
 )
 
@@ -52,6 +53,8 @@
 	mu      sync.Mutex
 	nodes   map[string]*NodeProcess
 	engines map[ring.VM]*standin.Server
+	// limits holds the rate limits of the VMs' backend servers, over all their starts.
+	limits map[ring.VM]*ratelimit.Limit
 	// startCount counts the starts of nodes and engines; incarnations are made
 	// from it.
 	startCount   int
@@ -69,7 +72,7 @@
 	s := &System{
 		options: o, Keyspace: platform.NewKeyspace(), Net: NewNetwork(), VMList: platform.NewVMList(1000),
 		History: &History{}, Services: map[string]*service.Server{},
-		nodes: map[string]*NodeProcess{}, engines: map[ring.VM]*standin.Server{},
+		nodes: map[string]*NodeProcess{}, engines: map[ring.VM]*standin.Server{}, limits: map[ring.VM]*ratelimit.Limit{},
 	}
 	s.Net.OnDelivery(s.recordDelivery)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -171,7 +174,7 @@
 	e := standin.New(standin.Config{
 		VM: name, Incarnation: incarnation, CheckFencing: vm.Fencing == deployment.FencingChecked,
 		LoadTime: s.options.LoadTime, FirstToken: s.options.FirstToken, TokenGap: s.options.TokenGap,
-		Transport: s.Net.TransportFrom(vm.Address, true),
+		Transport: s.Net.TransportFrom(vm.Address, true), Limit: s.Limit(name),
 	})
 	s.mu.Lock()
 	s.engines[name] = e
@@ -183,6 +186,16 @@
 	s.History.add(PresenceChange{At: time.Now(), VM: name, Present: true})
 }
 
+// Limit returns the rate limit that the backend server of a VM names.
+func (s *System) Limit(name ring.VM) *ratelimit.Limit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.limits[name] == nil {
+		s.limits[name] = &ratelimit.Limit{}
+	}
+	return s.limits[name]
+}
+
 // CrashEngine crashes the backend server of a VM.
 func (s *System) CrashEngine(name ring.VM) {
 	s.Net.CrashHost(s.declaredVM(name).Address)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -16,6 +16,7 @@
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/node"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/reservation"
 )
 
@@ -101,6 +102,10 @@
 			return
 		}
 		grant = next
+		if !s.awaitPermit(r.Context(), grant) {
+			out.writeFailure(err)
+			return
+		}
 	}
 }
 
@@ -139,8 +144,8 @@
 
 // sendAttempt sends one attempt and returns the response with its body unread. If
 // freshConn is set, it opens a new connection. Only the first attempt of an idempotent
-// request may reuse one.
-func (s *Server) sendAttempt(ctx context.Context, req *http.Request, freshConn bool, trace *connTrace) (*http.Response, *attemptError) {
+// request may reuse one. to is the server's key for rate limits.
+func (s *Server) sendAttempt(ctx context.Context, req *http.Request, to quota.Key, freshConn bool, trace *connTrace) (*http.Response, *attemptError) {
 	transport := s.keepAlive
 	if freshConn {
 		transport = s.fresh
@@ -149,6 +154,9 @@
 	if err != nil {
 		return nil, trace.classify(err)
 	}
+	if id := resp.Header.Get(engine.HeaderRequest); id == "" || id == req.Header.Get(engine.HeaderRequest) {
+		s.recordLimit(to, req.URL.Host, resp.Header)
+	}
 	if isRefusal(resp) {
 		resp.Body.Close()
 		return nil, &attemptError{stage: stageRefused, err: fmt.Errorf("backend server refused: status %d", resp.StatusCode)}
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -148,7 +148,7 @@
 		return
 	}
 	request := AcquireRequest{Workspace: c.caller.Workspace, Priority: c.caller.Application.Priority, Target: &q.target, AffinityKey: q.affinityKey, Deadline: c.deadline}
-	grant, failure := s.acquireGrant(r, c, request)
+	grant, failure := s.acquirePermitted(r, c, request)
 	if failure != nil {
 		s.writeFailure(w, c, failure)
 		return
--- a/internal/gateway/endless_declared_test.go
+++ b/internal/gateway/endless_declared_test.go
@@ -20,6 +20,7 @@
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/node"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/retry"
 )
 
@@ -39,7 +40,7 @@
 	return &Server{
 		config: Config{FirstTimeout: testFirstTimeout, StallTimeout: testStallTimeout, Log: event.NewLog(slog.New(slog.DiscardHandler)), Metrics: metric.New()},
 		table:  table, budget: retry.NewBudget(retry.DefaultConfig()), sweeper: newSweeper(table), bodies: newBodyMemory(maxTestBody, 4*maxTestBody),
-		keepAlive: transport(false), fresh: transport(true),
+		keepAlive: transport(false), fresh: transport(true), permits: quota.NewClient(quota.Alone{}),
 	}
 }
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -112,10 +111,10 @@
 	stop     context.CancelFunc
 	// bodies bounds the memory for response bodies.
 	bodies *bodyMemory
-	// permits gets the permits for requests to servers with a rate limit. unreadableAt is
-	// when a limit that could not be read was last logged.
-	permits      *quota.Client
-	unreadableAt atomic.Pointer[time.Time]
+	// permits gets the permits for requests to servers with a rate limit. unreadable limits
+	// the log lines of limits that could not be read.
+	permits    *quota.Client
+	unreadable logInterval
 }
 
 // NewFront returns a Front. It registers the Front's counts of requests and retries
--- a/internal/gateway/frontlimit.go
+++ b/internal/gateway/frontlimit.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -30,6 +31,16 @@
 	plainWaitFraction = 0.5
 )
 
+// logInterval limits log lines to one every unreadableLogInterval. It is safe for concurrent
+// use.
+type logInterval struct{ last atomic.Pointer[time.Time] }
+
+// isDue reports whether a line may be written now, and if so, counts it.
+func (l *logInterval) isDue(now time.Time) bool {
+	last := l.last.Load()
+	return (last == nil || now.Sub(*last) >= unreadableLogInterval) && l.last.CompareAndSwap(last, &now)
+}
+
 // keyOf returns the key under which a server's rate limit is kept.
 func keyOf(s ring.Server) quota.Key { return quota.KeyOf(s.ID, s.Incarnation) }
 
@@ -178,8 +189,7 @@
 	now, limit := time.Now(), x.header.RateLimit
 	vm, request := slog.String("vm", string(server.ID)), slog.String("request", req.header.ID)
 	if limit.State == ring.RateUnreadable {
-		last := f.unreadableAt.Load()
-		if (last == nil || now.Sub(*last) >= unreadableLogInterval) && f.unreadableAt.CompareAndSwap(last, &now) {
+		if f.unreadable.isDue(now) {
 			f.config.Log.Write(event.LimitUnreadable, vm, request)
 		}
 		return
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -124,7 +124,7 @@
 		s.config.Metrics.Observe(metric.LatencyHop, o.call.class, time.Since(o.call.receivedAt)-o.call.queuedFor)
 	}
 	var conn connTrace
-	resp, failure := s.sendAttempt(ctx, req, freshConn, &conn)
+	resp, failure := s.sendAttempt(ctx, req, routeKey(route), freshConn, &conn)
 	if failure != nil {
 		return failure
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -43,6 +43,7 @@
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/node"
 	"eelgrassring.dev/internal/openai"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/retry"
 )
 
@@ -79,6 +80,10 @@
 	sweeper   *sweeper
 	// bodies bounds the memory for response bodies.
 	bodies *bodyMemory
+	// permits gets the permits for requests to limited backend servers.
+	permits *quota.Client
+	// unreadable limits the log lines of limits that could not be read.
+	unreadable logInterval
 	// keepAlive reuses connections and fresh opens one for each request.
 	keepAlive http.RoundTripper
 	fresh     http.RoundTripper
@@ -99,6 +104,7 @@
 		bodies:    newBodyMemory(maxDeclaredBody, maxDeclaredBodies),
 		keepAlive: c.KeepAlive,
 		fresh:     c.Fresh,
+		permits:   c.Node.Quota(),
 	}
 	if s.keepAlive == nil {
 		s.keepAlive = newTransport(c.FirstTimeout, false)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -141,7 +141,7 @@
 		req.Body = http.NoBody
 	}
 	var conn connTrace
-	resp, failure := p.server.sendAttempt(ctx, req, freshConn, &conn)
+	resp, failure := p.server.sendAttempt(ctx, req, addressKey(address), freshConn, &conn)
 	if failure != nil {
 		return nil, nil, failure
 	}
@@ -159,7 +159,10 @@
 // to record. It continues after the caller disconnects, so that a retry with the same
 // key gets the recorded response.
 func (p *serviceCall) dispatchOnce(ctx context.Context, w http.ResponseWriter) dispatchResult {
-	address := p.serverAddress(0)
+	address, next, ok := p.permittedAddress(ctx, 0)
+	if !ok {
+		return dispatchResult{notRun: true, reply: func() { p.failUnpermitted(w, next) }}
+	}
 	resp, body, err := p.sendAndRead(context.WithoutCancel(ctx), address, true)
 	if err != nil {
 		p.server.logFailedAttempt(p.call, routeToAddress(address), err)
@@ -173,7 +176,13 @@
 // reached a server is retried only if HTTP defines its method as idempotent.
 func (p *serviceCall) dispatchWithRetries(ctx context.Context, w http.ResponseWriter) {
 	for n := 0; ; n++ {
-		address := p.serverAddress(n)
+		address, next, ok := p.permittedAddress(ctx, n)
+		if !ok && ctx.Err() == nil {
+			p.failUnpermitted(w, next)
+		}
+		if !ok {
+			return
+		}
 		resp, body, err := p.sendAndRead(ctx, address, n > 0 || !p.isIdempotent())
 		if err == nil {
 			p.writeResponse(w, resp, body)
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -63,7 +63,7 @@
 		Configuration: c,
 		Name:          n.config.Name, Address: n.config.PeerAddress, CallerAddress: n.config.CallerAddress, Zone: n.config.Zone,
 		Incarnation: n.config.Incarnation, ConfigNumber: number, Draining: n.IsDraining(),
-		Outstanding: n.table.Outstanding(), Leaving: n.table.LeavingVMs(),
+		Outstanding: n.table.Outstanding(), Leaving: n.table.LeavingVMs(), Limits: n.knownLimits(time.Now()),
 	}
 	if n.demand != nil {
 		p.Demand = n.demand.Demand()
@@ -147,6 +147,8 @@
 func (n *Node) ReceiveHeartbeat(ctx context.Context, p Peer) int64 {
 	p.HeardAt = time.Now()
 	p.Configuration = nil
+	n.applyLimits(p.Limits)
+	p.Limits = nil
 	if _, number := n.table.Configuration(); p.ConfigNumber != number {
 		p.Demand, p.Outstanding = n.table.peerCounts(p.Name)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/reservation"
 )
 
@@ -65,6 +66,9 @@
 	// ReserveSlot requests a slot of the group from its home node at the address.
 	// holder is the name of the node that will send the request.
 	ReserveSlot(ctx context.Context, address string, g ring.Group, holder string) (reservation.Result, error)
+	// AskPermit requests a permit for a limited backend server from its home node at the
+	// address.
+	AskPermit(ctx context.Context, address string, r quota.Request) (quota.Reply, error)
 	// UpdateSlots reports to a home node which of the holder's requests started,
 	// returned a first token or ended.
 	UpdateSlots(ctx context.Context, address, holder string, u SlotUpdates) error
@@ -126,6 +130,8 @@
 	// outbox holds this node's updates for the home nodes of other groups.
 	reservations *reservation.Table
 	outbox       *outbox
+	// quota gets the permits for requests to limited backend servers.
+	quota *quota.Client
 
 	mu           sync.Mutex
 	draining     bool
@@ -136,11 +142,15 @@
 	// node knows; stateListed is set once it has read the stored state.
 	hasController bool
 	stateListed   bool
+	// quotaView is the last view of the members, and sentLimits counts the rate limits that
+	// heartbeats carried, if one does not hold them all.
+	quotaView  quota.View
+	sentLimits int
 }
 
 // New returns a node that does nothing until Run is called.
 func New(c Config) *Node {
-	return &Node{
+	n := &Node{
 		config:       c,
 		table:        c.Table,
 		log:          c.Log,
@@ -150,6 +160,8 @@
 		outbox:       newOutbox(),
 		storeUp:      true,
 	}
+	n.quota = quota.NewClient(n)
+	return n
 }
 
 // SetDemand sets the source of the request counts that heartbeats send; it must be
--- a/internal/node/serving.go
+++ b/internal/node/serving.go
@@ -73,6 +73,9 @@
 	Epoch   ring.Epoch
 	Address string
 	Slots   int
+	// Head and Incarnation identify the process of the group's head.
+	Head        ring.VM
+	Incarnation string
 }
 
 // GroupState is the state of a group in this node's view. VM is the member that
@@ -181,7 +184,7 @@
 				Slots: stored.Record.Slots, Slowness: t.slownessOf(d.Name), ReadyAt: stored.Record.ReadyAt,
 			}, now),
 		})
-		routes = append(routes, Route{Group: d.Name, Epoch: stored.Record.Epoch, Address: head.Address, Slots: stored.Record.Slots})
+		routes = append(routes, Route{Group: d.Name, Epoch: stored.Record.Epoch, Address: head.Address, Slots: stored.Record.Slots, Head: head.Name, Incarnation: stored.Record.Members[0].Incarnation})
 	}
 	return candidates, routes
 }
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -28,6 +28,7 @@
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/deployment"
 	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/quota"
 )
 
 // MaxReportAge is the maximum age, in production, of a backend server's report. A
@@ -61,6 +62,8 @@
 	Outstanding map[ring.Group]int
 	// Leaving lists the VMs that the peer knows to be leaving.
 	Leaving []ring.VM
+	// Limits are rate limits of backend servers that the peer knows.
+	Limits []quota.Observation
 	// Configuration is used to encode a heartbeat: it gives the order of the counts
 	// in Demand and Outstanding. It is set only in a node's own heartbeat and is not
 	// sent.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,7 @@
 	"eelgrassring.dev/internal/node"
 	pb "eelgrassring.dev/internal/peer/peerpb"
 	"eelgrassring.dev/internal/placement"
+	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/reservation"
 )
 
@@ -185,6 +186,25 @@
 	}
 }
 
+// AskPermit implements node.PeerClient.
+func (c *Client) AskPermit(ctx context.Context, address string, r quota.Request) (quota.Reply, error) {
+	conn, err := c.connTo(address)
+	if err != nil {
+		return quota.Reply{}, err
+	}
+	reply, err := pb.NewPeerClient(conn).Permit(ctx, &pb.PermitRequest{Server: uint64(r.Server), PerSecond: r.PerSecond, AgeMs: r.Age.Milliseconds(), WaitMs: r.MaxWait.Milliseconds()})
+	if err != nil {
+		if isMalformed(status.Code(err)) {
+			c.dropFailedConn(address, conn, err)
+		}
+		return quota.Reply{}, fmt.Errorf("ask %s for a permit: %w", address, err)
+	}
+	// The answers have the numbers of quota's results.
+	return quota.Reply{Result: quota.Result(reply.Answer), Wait: millis(reply.WaitMs), Age: millis(reply.AgeMs)}, nil
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // UpdateSlots implements node.PeerClient.
 func (c *Client) UpdateSlots(ctx context.Context, address, holder string, updates node.SlotUpdates) error {
 	conn, err := c.connTo(address)
@@ -244,6 +264,10 @@
 	for _, vm := range p.Leaving {
 		out.Leaving = append(out.Leaving, string(vm))
 	}
+	now := time.Now()
+	for _, o := range p.Limits {
+		out.Limits = append(out.Limits, &pb.Limit{Server: uint64(o.Server), Limited: o.IsLimited, PerSecond: o.PerSecond, AgeMs: now.Sub(o.At).Milliseconds()})
+	}
 	if c == nil {
 		return out
 	}
@@ -270,6 +294,10 @@
 	for _, vm := range r.Leaving {
 		p.Leaving = append(p.Leaving, ring.VM(vm))
 	}
+	now := time.Now()
+	for _, l := range r.Limits {
+		p.Limits = append(p.Limits, quota.Observation{Server: quota.Key(l.Server), IsLimited: l.Limited, PerSecond: l.PerSecond, At: now.Add(-millis(l.AgeMs))})
+	}
 	if c == nil || len(r.Running) != len(c.Workspaces()) || len(r.Queued) != len(r.Running) || len(r.Outstanding) != len(c.Groups()) {
 		return p
 	}
@@ -367,6 +395,14 @@
 	return &pb.ReserveResponse{Answer: resultToProto(s.node.GrantSlot(ring.Group(r.Group), r.Holder))}, nil
 }
 
+// Permit gives a peer a permit for a limited backend server of which this node is the home
+// node.
+func (s *Server) Permit(_ context.Context, r *pb.PermitRequest) (*pb.PermitResponse, error) {
+	reply := s.node.GrantPermit(quota.Request{Server: quota.Key(r.Server), PerSecond: r.PerSecond, Age: millis(r.AgeMs), MaxWait: millis(r.WaitMs)})
+	// The wait is rounded up, so that no permit is used early.
+	return &pb.PermitResponse{Answer: pb.PermitResponse_Answer(reply.Result), WaitMs: (reply.Wait + time.Millisecond - 1).Milliseconds(), AgeMs: reply.Age.Milliseconds()}, nil
+}
+
 // Note applies a peer's slot updates (requests sent, first tokens, ends) to the
 // groups whose reservations this node keeps.
 func (s *Server) Note(_ context.Context, r *pb.NoteRequest) (*pb.NoteResponse, error) {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -21,6 +21,7 @@
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/engine"
+	"eelgrassring.dev/internal/standin/ratelimit"
 )
 
 // memberCheckInterval is the time between two checks of the members by the
@@ -48,6 +49,8 @@
 	// Transport carries the head's status requests to its members; nil means
 	// TCP.
 	Transport http.RoundTripper
+	// Limit is the limit of requests that the server names; nil means none.
+	Limit *ratelimit.Limit
 }
 
 // Server is one simulated backend server.
@@ -93,6 +96,9 @@
 // New returns a server without a loaded model. The caller runs WatchMembers and
 // serves Handler.
 func New(c Config) *Server {
+	if c.Limit == nil {
+		c.Limit = &ratelimit.Limit{}
+	}
 	return &Server{
 		config:    c,
 		client:    &http.Client{Timeout: 300 * time.Millisecond, Transport: c.Transport},
@@ -124,8 +130,8 @@
 	r.HandleFunc(engine.OrderPath, s.executeOrder).Methods(http.MethodPost)
 	r.HandleFunc("/control/leave", s.serveLeave).Methods(http.MethodPost)
 	r.HandleFunc("/control/counters", s.serveCounters).Methods(http.MethodGet)
-	r.HandleFunc("/v1/chat/completions", s.serveChat).Methods(http.MethodPost)
-	r.HandleFunc("/v1/completions", s.serveCompletion).Methods(http.MethodPost)
+	r.HandleFunc("/v1/chat/completions", s.config.Limit.Wrap(s.serveChat)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/completions", s.config.Limit.Wrap(s.serveCompletion)).Methods(http.MethodPost)
 	return r
 }
 
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"eelgrassring.dev/internal/standin/ratelimit"
 )
 
 // Server is one instance of the service. It counts the sign-offs of each
@@ -19,6 +21,8 @@
 type Server struct {
 	mu   sync.Mutex
 	runs map[string]int
+	// Limit is the limit of requests that the server names.
+	Limit ratelimit.Limit
 }
 
 // Signoff is the body of a sign-off request. The service counts the run first
@@ -45,9 +49,9 @@
 // body of the request.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
-	r.HandleFunc("/signoffs", s.countSignoff).Methods(http.MethodPost)
-	r.HandleFunc("/signoffs/{sample}", s.serveSignoffCount).Methods(http.MethodGet)
-	r.HandleFunc("/echo", s.echoBody)
+	r.HandleFunc("/signoffs", s.Limit.Wrap(s.countSignoff)).Methods(http.MethodPost)
+	r.HandleFunc("/signoffs/{sample}", s.Limit.Wrap(s.serveSignoffCount)).Methods(http.MethodGet)
+	r.HandleFunc("/echo", s.Limit.Wrap(s.echoBody))
 	return r
 }
 
--- a/route.go
+++ b/route.go
@@ -1,7 +1,10 @@
 package eelgrassring
 
 import (
+	"math"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 )
 
@@ -213,6 +216,28 @@
 	PerSecond float64
 }
 
+// maxRateLimit bounds a rate limit, in requests a second, so that the time between two
+// requests can be represented.
+const maxRateLimit = 1e6
+
+// ReadRateLimit returns the limit that the values of a response's header name. If they name
+// several, the least of those that can be read holds.
+func ReadRateLimit(values []string) RateLimit {
+	out := RateLimit{}
+	for _, text := range values {
+		limit, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+		switch {
+		case err != nil || !(limit >= 0) || math.IsInf(limit, 0):
+			if out.State == RateUnlimited {
+				out.State = RateUnreadable
+			}
+		case out.State != RateLimited || limit < out.PerSecond:
+			out = RateLimit{State: RateLimited, PerSecond: min(limit, maxRateLimit)}
+		}
+	}
+	return out
+}
+
 // Dialect reads and writes the headers by which callers, this system and backend
 // servers communicate.
 type Dialect interface {
