composition, agent: a replica whose head is limited is formed again with another head

With limits obeyed, callers of the models whose heads were limited were served late or refused, though the other members of these replicas hold the model and name no limit. Cause: the composer knew of no limits. A head that gets less than three quarters of the mean load of its model's unlimited replicas, for 1.5 s, is released gracefully and its servers form a replica with another head: one replica of a model at a time, not if all members are limited, and not before the one before is open again (or 15 s have passed). Its price is a replica that is out for up to 3 s and one more order per member.

TestReplicaWithALimitedHeadGetsAnotherHead failed before.

--- a/internal/agent/controller.go
+++ b/internal/agent/controller.go
@@ -199,12 +199,13 @@
 		ct.hasTraffic.Store(true)
 	}
 	stalled, active, slow := ct.agent.fleet.StalledReplicas(now), ct.agent.fleet.ActiveReplicas(now), ct.agent.fleet.SlowReplicas(now)
+	limited, limitedServers := ct.agent.limitedReplicas(now)
 	for _, service := range table.Services() {
 		if len(service.Models) == 0 {
 			continue
 		}
 		view := composition.View{
-			Servers: ct.agent.fleet.Servers(service.Name), Service: service, Stalled: stalled, Active: active, Slow: slow, HasTraffic: ct.hasTraffic.Load(),
+			Servers: ct.agent.fleet.Servers(service.Name), Service: service, Stalled: stalled, Active: active, Slow: slow, Limited: limited, LimitedServers: limitedServers, HasTraffic: ct.hasTraffic.Load(),
 		}
 		ct.performActions(ctx, service.Name, ct.composerFor(service.Name).Step(composition.ViewUpdated{View: view}, now))
 	}
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -63,9 +63,11 @@
 	incomplete map[ring.Epoch]time.Time
 	servers    map[ring.VM]*serverState
 	// missingSince is the time since when a domain has had no replica of a model.
-	// weightLoadBucket limits the loads from the weight store.
+	// weightLoadBucket limits the loads from the weight store. limitReleases holds the last
+	// releases of replicas because their heads were limited.
 	missingSince     map[domainModel]time.Time
 	weightLoadBucket weightLoadLimiter
+	limitReleases    map[ring.Model]limitRelease
 	// inventoryAt is when the last inventory was reported.
 	inventoryAt time.Time
 	// actions are the actions that the current call of Step will return.
@@ -77,7 +79,7 @@
 func New(c Config) *Composer {
 	return &Composer{
 		options: c.Options, isFirst: true, termEpoch: firstEpoch(c.Term), epoch: firstEpoch(c.Term),
-		replicas: map[ring.Epoch]*replica{}, replicaCounts: map[domainModel]int{}, inUseCounts: map[ring.Model]int{}, ended: map[ring.Epoch]replicaEnd{}, incomplete: map[ring.Epoch]time.Time{}, missingSince: map[domainModel]time.Time{}, servers: map[ring.VM]*serverState{},
+		replicas: map[ring.Epoch]*replica{}, replicaCounts: map[domainModel]int{}, inUseCounts: map[ring.Model]int{}, ended: map[ring.Epoch]replicaEnd{}, incomplete: map[ring.Epoch]time.Time{}, missingSince: map[domainModel]time.Time{}, servers: map[ring.VM]*serverState{}, limitReleases: map[ring.Model]limitRelease{},
 	}
 }
 
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -66,6 +66,10 @@
 	// Slow holds the replicas whose streams are much slower than those of other
 	// replicas of the same model, each with the factor by which they are slower.
 	Slow map[ring.Epoch]float64
+	// Limited holds the replicas that get fewer requests than others because of their heads'
+	// limits, and LimitedServers the servers that take a limited number of requests.
+	Limited        map[ring.Epoch]bool
+	LimitedServers map[ring.VM]bool
 	// HasTraffic is set after the first request to any replica.
 	HasTraffic bool
 }
--- a/internal/composition/form.go
+++ b/internal/composition/form.go
@@ -187,6 +187,7 @@
 		return cmp.Or(compareBool(a.slow, b.slow), cmp.Compare(c.joinTime(a, m, now), c.joinTime(b, m, now)))
 	})
 	p := &replicaPlan{model: m, domain: domain, members: sorted[:m.Size], candidates: len(sorted)}
+	c.putLimitedLast(p.members)
 	for _, s := range p.members {
 		p.readyAfter = max(p.readyAfter, c.joinTime(s, m, now))
 	}
--- a/internal/composition/options.go
+++ b/internal/composition/options.go
@@ -53,6 +53,14 @@
 	// MinSpares is how many spares must be left in a domain when a second replica of a
 	// model is formed there.
 	MinSpares int
+	// LimitTime is how long the limit of a head must hold before its replica is formed again
+	// with another head, and LimitCloseTimeout how long the former head may then take to
+	// finish its requests.
+	LimitTime         time.Duration
+	LimitCloseTimeout time.Duration
+	// LimitRetry is how long another replica of the model waits for the one that was released
+	// before to be formed again.
+	LimitRetry time.Duration
 }
 
 // DefaultOptions returns the options used in production.
@@ -74,5 +82,8 @@
 		ReserveTime:       15 * time.Second,
 		LoadWait:          2 * time.Second,
 		MinSpares:         1,
+		LimitTime:         1500 * time.Millisecond,
+		LimitCloseTimeout: 2500 * time.Millisecond,
+		LimitRetry:        15 * time.Second,
 	}
 }
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -64,6 +64,8 @@
 	// stalledSince is when a view first reported that the replica's streams are
 	// stalled, or zero if they are not.
 	stalledSince time.Time
+	// limitedSince is since when the views have named the replica as limited, or zero.
+	limitedSince time.Time
 	// isGraceful is set while a releasing head may finish its requests.
 	isGraceful bool
 	// isAdopted is set if an earlier controller formed the replica. Orders of that
@@ -229,7 +231,8 @@
 }
 
 // advanceOpen releases an open replica if a member is lost or leaving, if its streams
-// have stalled for too long, or if a spare can replace a slow member.
+// have stalled for too long, if a spare can replace a slow member, or if another member
+// could be the head without a limit.
 func (c *Composer) advanceOpen(r *replica, now time.Time) {
 	if c.releaseIfUnhealthy(r, now) {
 		return
@@ -247,7 +250,7 @@
 			c.release(r, false, "stalled although all members answer", "", now)
 		}
 	}
-	if c.view.Slow[r.epoch] > 0 && c.releaseIfSlow(r, now) {
+	if c.view.Slow[r.epoch] > 0 && c.releaseIfSlow(r, now) || c.releaseIfLimited(r, now) {
 		return
 	}
 	if head, listed := c.entryOf(r.head().id); listed && head.Membership.Epoch == r.epoch && head.Membership.State == ring.MemberReady {
--- a/internal/composition/simulation_test.go
+++ b/internal/composition/simulation_test.go
@@ -26,6 +26,8 @@
 	delayedShare float64
 	// hasTraffic makes all open replicas serve requests.
 	hasTraffic bool
+	// limited are the servers that take a limited number of requests.
+	limited    map[ring.VM]bool
 	violations []string
 	// loadStarts are the times at which loads from the weight store began.
 	loadStarts []time.Time
@@ -269,13 +271,14 @@
 // An open replica is active if its head is reachable and all its members are alive and
 // in it, and otherwise stalled.
 func (sim *simulation) view() View {
-	v := View{Service: sim.service, HasTraffic: sim.hasTraffic, Stalled: map[ring.Epoch]time.Duration{}, Active: map[ring.Epoch]bool{}, Slow: map[ring.Epoch]float64{}}
+	v := View{Service: sim.service, HasTraffic: sim.hasTraffic, Stalled: map[ring.Epoch]time.Duration{}, Active: map[ring.Epoch]bool{}, Slow: map[ring.Epoch]float64{}, Limited: map[ring.Epoch]bool{}, LimitedServers: sim.limited}
 	for _, id := range sim.serverIDs() {
 		s := sim.servers[id]
 		if s.listed {
 			v.Servers = append(v.Servers, s.entry)
 		}
 		if sim.hasTraffic && s.alive && s.server.Membership.State == ring.MemberOpen {
+			v.Limited[s.server.Membership.Epoch] = sim.limited[id]
 			for _, id := range s.members {
 				if m := sim.servers[id]; m != nil && m.server.Slowdown > 1 {
 					v.Slow[s.server.Membership.Epoch] = m.server.Slowdown
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -431,6 +431,17 @@
 	return append([]Replica(nil), f.replicas...)
 }
 
+// Loads returns all replicas with their requests and pending prefill.
+func (f *Fleet) Loads(now time.Time) []Candidate {
+	f.rLockReplicas()
+	defer f.mu.RUnlock()
+	out := make([]Candidate, 0, len(f.replicas))
+	for _, r := range f.replicas {
+		out = append(out, f.candidateFor(r, now))
+	}
+	return out
+}
+
 // peerLoad returns the number of requests that peers have at a replica, according to
 // their reports that are still valid; mu is held.
 func (f *Fleet) peerLoad(e ring.Epoch, now time.Time) int {
