--- a/internal/agent/permits_test.go
+++ b/internal/agent/permits_test.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/digest"
 	"eelgrassring.dev/internal/quota"
 )
@@ -187,3 +190,77 @@
 		})
 	}
 }
+
+// TestPermitsStayWithinByteLimit guards against messages about permits that take more of a
+// node's link than all of its control traffic may, while most servers are limited.
+func TestPermitsStayWithinByteLimit(t *testing.T) {
+	const servers, perSecond, lasts = 60, 3, 15 * time.Second
+	for _, nodes := range []int{6, 90} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(10 * time.Second)
+			keys := make([]quota.Key, servers)
+			for i := range keys {
+				keys[i] = quota.KeyOf(ring.VM(fmt.Sprint("s", i)), "1")
+				tc.agents[i%nodes].Quota().Observe(quota.Observation{Server: keys[i], IsLimited: true, PerSecond: perSecond, At: time.Now()})
+			}
+			time.Sleep(time.Second)
+			tc.network.resetCounts()
+			var wait sync.WaitGroup
+			var sent atomic.Int64
+			demand := 1.5 * servers * perSecond / float64(nodes)
+			for i, a := range tc.agents {
+				wait.Go(func() {
+					random := rand.New(rand.NewPCG(uint64(i), 6))
+					for end := time.Now().Add(lasts); time.Now().Before(end); {
+						time.Sleep(time.Duration(random.ExpFloat64() / demand * float64(time.Second)))
+						if a.sendToAny(random, keys) {
+							sent.Add(1)
+						}
+					}
+				})
+			}
+			wait.Wait()
+			most := 0
+			for i := range nodes {
+				bytes, _ := tc.network.sent(nodeName(i))
+				most = max(most, bytes)
+			}
+			used := float64(sent.Load()) / (servers * perSecond * lasts.Seconds())
+			t.Logf("%d nodes: at most %.0f bytes a second, %.2f of the permits used", nodes, float64(most)/lasts.Seconds(), used)
+			if float64(most)/lasts.Seconds() > maxBytesPerSecond {
+				t.Errorf("%d nodes: a node sends %.0f bytes a second", nodes, float64(most)/lasts.Seconds())
+			}
+			if used < 0.8 {
+				t.Errorf("%d nodes: %.2f of the permits are used", nodes, used)
+			}
+		})
+	}
+}
+
+// sendToAny gets a permit for one of the servers as a gateway does: first for those of which the
+// node is the home node, then it asks for two others.
+func (a *Agent) sendToAny(random *rand.Rand, keys []quota.Key) bool {
+	order := random.Perm(len(keys))
+	for _, i := range order {
+		if now := time.Now(); a.Quota().IsHome(keys[i], now) && !a.Quota().IsDenied(keys[i], 0, now) {
+			if _, ok := a.Quota().Acquire(context.Background(), keys[i], 0); ok {
+				return true
+			}
+		}
+	}
+	asked := 0
+	for _, i := range order {
+		if a.Quota().IsDenied(keys[i], 150*time.Millisecond, time.Now()) {
+			continue
+		}
+		if at, ok := a.Quota().Acquire(context.Background(), keys[i], 150*time.Millisecond); ok {
+			time.Sleep(time.Until(at))
+			return true
+		}
+		if asked++; asked == 2 {
+			return false
+		}
+	}
+	return false
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -60,6 +60,7 @@
 	RefusalDecided           = Kind{416, "refusal decided", slog.LevelWarn}              // requests with the subjects are refused
 	ServerLimited            = Kind{417, "server rate limit changed", slog.LevelInfo}    // the requests a second that it takes from all nodes together
 	LimitUnreadable          = Kind{418, "server rate limit unreadable", slog.LevelWarn} // what was known before holds
+	RefusalEnded             = Kind{419, "refusal ended", slog.LevelInfo}                // responses or later ends contradict it, or its time is over
 	RequestFailed            = Kind{501, "request failed", slog.LevelWarn}
 	AttemptFailed            = Kind{502, "attempt failed", slog.LevelInfo}
 	ClaimOutcomeNotRecorded  = Kind{503, "claim outcome not recorded", slog.LevelError} // the outcome of a non-idempotent request could not be stored
@@ -77,7 +78,7 @@
 		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored,
 		PeerFound, PeerLost, ControllerLeaseAcquired, ControllerLeaseLost, MembershipLeaseLost, PeerRecordInvalid, DigestNotSent, ConfigurationFetchFailed,
 		GroupRecordWritten, GroupRecordRejected, OrderSent, OrderFailed, OrderFenced, VMLeaving, CapacityChanged, GroupRecovered,
-		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused, RefusalDecided, ServerLimited, LimitUnreadable,
+		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused, RefusalDecided, ServerLimited, LimitUnreadable, RefusalEnded,
 		RequestFailed, AttemptFailed, ClaimOutcomeNotRecorded, StreamReplayed, ResponseMismatch,
 		RequestDone, StreamResumed, LinesDropped,
 	}
--- a/internal/gateway/frontsuspect.go
+++ b/internal/gateway/frontsuspect.go
@@ -109,15 +109,20 @@
 	}
 	s.decisions = decisions
 	isNew, isOwn := false, false
-	known := map[string]bool{}
+	known := map[string][]suspect.Digest{}
 	for _, r := range refusals {
 		key := subjectsKey(r.Subjects)
-		known[key] = true
-		if !s.logged[key] {
+		known[key] = r.Subjects
+		if s.logged[key] == nil {
 			isNew, isOwn = true, isOwn || !r.IsAdopted
 			f.config.Log.Write(event.RefusalDecided, slog.Any("subjects", r.Subjects), slog.Any("servers", r.Servers), slog.Duration("after", r.DecidedAt.Sub(r.Since)), slog.Bool("adopted", r.IsAdopted))
 		}
 	}
+	for key, subjects := range s.logged {
+		if known[key] == nil {
+			f.config.Log.Write(event.RefusalEnded, slog.Any("subjects", subjects))
+		}
+	}
 	s.logged = known
 	if !isNew {
 		return
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -70,13 +70,13 @@
 	// decisions is the number of the registry's decisions that were applied, and logged
 	// are the refusals that were written to the log.
 	decisions int
-	logged    map[string]bool
+	logged    map[string][]suspect.Digest
 	window    suspect.Window
 }
 
 func newSuspicion() *suspicion {
 	return &suspicion{
-		flights: map[*flight]struct{}{}, trials: map[string]bool{}, logged: map[string]bool{},
+		flights: map[*flight]struct{}{}, trials: map[string]bool{}, logged: map[string][]suspect.Digest{},
 		window: suspect.Window{Start: time.Now().Add(-rand.N(time.Minute))},
 	}
 }
