claim: the rate of writes for claims is divided by the number of nodes

Found while looking for the cause of LIMIT elsewhere (a bound that many nodes share and each applies alone): each node wrote claims at 40 requests a second, chosen for seven nodes. With 30 they would send 900 in half a second (TestNodesShareTheRateOfClaims, before), while the store takes 400 writes a second in all; leases would be refused. Now a node takes an even part of 280, at most 40, and its burst follows. Not seen in production: nobody runs 30 such nodes.

--- a/cmd/eelgrassd/app.go
+++ b/cmd/eelgrassd/app.go
@@ -106,8 +106,10 @@
 
 // newLedger returns the ledger that records claims on idempotency keys in the
 // store, so that a non-idempotent request runs at most once.
-func newLedger(s settings.Settings, i incarnation, store ring.Store) *claim.Ledger {
-	return claim.NewLedger(claim.Config{Store: store, Node: s.Name + "/" + string(i), Batch: claim.DefaultBatchConfig()})
+func newLedger(s settings.Settings, i incarnation, store ring.Store, n *node.Node) *claim.Ledger {
+	batch := claim.DefaultBatchConfig()
+	batch.Nodes = n.NodeCount
+	return claim.NewLedger(claim.Config{Store: store, Node: s.Name + "/" + string(i), Batch: batch})
 }
 
 // newGateway returns the server of the callers' requests.
--- a/internal/claim/batch.go
+++ b/internal/claim/batch.go
@@ -28,8 +28,12 @@
 
 // BatchConfig configures a Batcher.
 type BatchConfig struct {
-	// Rate is how many store requests that write claims the node may send per second.
-	Rate float64
+	// Rate is how many store requests that write claims the node may send per second, and
+	// TotalRate how many all nodes together may.
+	Rate      float64
+	TotalRate float64
+	// Nodes returns the number of nodes; nil means that the node is alone.
+	Nodes func() int
 	// MaxTxns is the largest number of transactions in one store request.
 	MaxTxns int
 	// MaxWait is the longest time that the transaction of a new claim waits to be
@@ -39,12 +43,24 @@
 	QueueSize int
 }
 
-// DefaultBatchConfig returns the values used in production. At 40 store requests per
-// second from each of seven nodes, the store keeps enough capacity for leases.
+// DefaultBatchConfig returns the values used in production, with which the store keeps enough
+// capacity for leases.
 func DefaultBatchConfig() BatchConfig {
-	return BatchConfig{Rate: 40, MaxTxns: 32, MaxWait: 500 * time.Millisecond, QueueSize: 1024}
+	return BatchConfig{Rate: 40, TotalRate: 280, MaxTxns: 32, MaxWait: 500 * time.Millisecond, QueueSize: 1024}
 }
 
+// rateOfNode returns how many store requests this node may send per second: an even part of
+// TotalRate, at most Rate.
+func (c BatchConfig) rateOfNode() float64 {
+	if c.Nodes == nil || c.TotalRate == 0 {
+		return c.Rate
+	}
+	return min(c.Rate, c.TotalRate/float64(max(c.Nodes(), 1)))
+}
+
+// burstOf returns how many store requests may be sent at once at a rate.
+func burstOf(perSecond float64) int { return max(1, int(perSecond/4)) }
+
 // pendingTxn is a queued transaction. done receives its result.
 type pendingTxn struct {
 	txn ring.Txn
@@ -78,7 +94,7 @@
 	return &Batcher{
 		store:       s,
 		config:      c,
-		limiter:     rate.NewLimiter(rate.Limit(c.Rate), max(1, int(c.Rate/4))),
+		limiter:     rate.NewLimiter(rate.Limit(c.rateOfNode()), burstOf(c.rateOfNode())),
 		settlements: make(chan *pendingTxn, c.QueueSize),
 		claims:      make(chan *pendingTxn, c.QueueSize),
 	}
@@ -117,6 +133,8 @@
 		if first == nil {
 			return
 		}
+		b.limiter.SetLimit(rate.Limit(b.config.rateOfNode()))
+		b.limiter.SetBurst(burstOf(b.config.rateOfNode()))
 		if b.limiter.Wait(ctx) != nil {
 			return
 		}
--- a/internal/claim/batch_test.go
+++ b/internal/claim/batch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,3 +143,34 @@
 		is.True(len(entry.Value) < 1000)
 	})
 }
+
+// TestNodesShareTheRateOfClaims guards against nodes that each use a rate of writes which was
+// chosen for a few of them: together many of them write more than the store takes, which then
+// refuses leases, too.
+func TestNodesShareTheRateOfClaims(t *testing.T) {
+	for _, nodes := range []int{1, 7, 30} {
+		synctest.Test(t, func(t *testing.T) {
+			var wait sync.WaitGroup
+			ctx, cancel := context.WithCancel(context.Background())
+			stores := make([]*countingStore, nodes)
+			for i := range nodes {
+				stores[i] = &countingStore{Keyspace: platform.NewKeyspace()}
+				batch := DefaultBatchConfig()
+				batch.Nodes = func() int { return nodes }
+				l := NewLedger(Config{Store: stores[i], Node: fmt.Sprint("n", i), Batch: batch})
+				go l.Run(ctx)
+				wait.Go(func() { claimConcurrently(l, 3000) }) // It takes half a second.
+			}
+			wait.Wait()
+			cancel()
+			calls := 0
+			for _, s := range stores {
+				calls += s.calls
+			}
+			// 280 of the store's 400 writes a second, and a quarter of a second's as a burst.
+			if bound := 280*3/4 + 280/4 + nodes; calls > bound {
+				t.Errorf("%d nodes: %d calls to the store in half a second, want at most %d", nodes, calls, bound)
+			}
+		})
+	}
+}
--- a/internal/fake/nodeprocess.go
+++ b/internal/fake/nodeprocess.go
@@ -60,7 +60,9 @@
 	if s.options.WrapTransport != nil {
 		keepAlive, fresh = s.options.WrapTransport(keepAlive), s.options.WrapTransport(fresh)
 	}
-	ledger := claim.NewLedger(claim.Config{Store: store, Node: name + "/" + incarnation, Batch: claim.DefaultBatchConfig()})
+	batch := claim.DefaultBatchConfig()
+	batch.Nodes = n.NodeCount
+	ledger := claim.NewLedger(claim.Config{Store: store, Node: name + "/" + incarnation, Batch: batch})
 	process := &NodeProcess{Name: name, Node: n, Store: store, done: make(chan struct{})}
 	process.Gateway = gateway.New(gateway.Config{
 		Node: n, Ledger: ledger, Log: log, Metrics: metric.New(), MaxBody: 1 << 20, QueueLimit: 1000,
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// NodeCount returns the number of registered nodes, this one included.
+func (n *Node) NodeCount() int { return max(n.table.registeredNodes(), 1) }
+
 // inTouchNodes returns the names of the live peers.
 func (t *Table) inTouchNodes(now time.Time) []string {
 	t.mu.RLock()
