agent, node, gateway: the only node gives permits while it stops; a caller that left uses one permit

By reading: a node without peers left the permits to others while it stopped, so that requests to limited servers were refused for as long (TestOnlyNodeGivesPermitsWhileItStops failed before). A request whose caller left while it waited for its permit took further ones until none was due in time (no test: at most those of its wait).

--- a/internal/agent/permits_test.go
+++ b/internal/agent/permits_test.go
@@ -264,3 +264,18 @@
 	}
 	return false
 }
+
+// TestOnlyNodeGivesPermitsWhileItStops guards against a node without peers that refuses requests
+// to limited servers while it stops, because it leaves their permits to others.
+func TestOnlyNodeGivesPermitsWhileItStops(t *testing.T) {
+	runCluster(t, 1, func(is *is.I, tc *testCluster) {
+		tc.writeConfig(1)
+		time.Sleep(5 * time.Second)
+		observe(tc.agents[0], true, 4)
+		tc.agents[0].Drain()
+		time.Sleep(time.Second)
+		is.True(tc.agents[0].Quota().IsHome(limitedServer, time.Now()))
+		log := tc.sendPermitted(4, 10, 5*time.Second)
+		is.True(len(log.times) >= 15)
+	})
+}
--- a/internal/gateway/frontlimit.go
+++ b/internal/gateway/frontlimit.go
@@ -151,9 +151,6 @@
 			if ctx.Err() != nil {
 				return ring.Server{}, false
 			}
-			if excluded == nil {
-				excluded = map[ring.VM]bool{}
-			}
 			excluded[server.ID] = true
 		}
 		excluded = maps.Clone(tried)
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -133,8 +133,8 @@
 			s.assign(req, c, prefill)
 			return c.Replica, nil
 		}
-		if ok {
-			continue
+		if ok && ctx.Err() == nil {
+			continue // The replica has closed while the request waited for its permit.
 		}
 		if until, areLimited := s.permitsUntil(candidates, now); areLimited && until.After(deadline) {
 			req.queuedFor += now.Sub(start)
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -23,8 +23,9 @@
 	members = slices.DeleteFunc(members, n.table.isDrainingPeer)
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	// A node that has not listed the others would take itself for the only one.
-	if n.stateListed && !n.draining {
+	// A node that has not listed the others would take itself for the only one. One that stops
+	// leaves the permits to others, if there are any.
+	if n.stateListed && (!n.draining || len(members) == 0) {
 		members = append(members, n.config.Name)
 	}
 	slices.Sort(members)
