soak, standin: servers of the service name rate limits while everything else fails

The soak of real processes checks the users' rule on limits, beside pauses, kills, planned stops, cut links, store faults and changes: each server of the service takes 1.5 requests a second for nine seconds of a series.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -66,6 +66,46 @@
 	return checkFailure(failure)
 }
 
+const (
+	// limitContact is the time after which the users' rule on limits holds, for any limitWindow:
+	// limitExcess times what the limit allows, and limitSlack requests.
+	limitContact = 3 * time.Second
+	limitWindow  = 4 * time.Second
+	limitExcess  = 1.5
+	limitSlack   = 5
+)
+
+// checkLimit returns how requests, between two times, break the rule on limits, or "".
+func checkLimit(arrivals []time.Time, from, to time.Time) string {
+	var counted []time.Time
+	for _, at := range arrivals {
+		if at.Before(from) || !at.Before(to) {
+			continue
+		}
+		counted = append(counted, at)
+		for at.Sub(counted[0]) > limitWindow {
+			counted = counted[1:]
+		}
+		if allowed := limitExcess*limitPerSecond*limitWindow.Seconds() + limitSlack; float64(len(counted)) > allowed {
+			return fmt.Sprintf("%d requests in %s at a limit of %g a second, allowed are %.0f", len(counted), limitWindow, limitPerSecond, allowed)
+		}
+	}
+	return ""
+}
+
+// TestCheckLimitFindsTooManyRequests checks the checker.
+func TestCheckLimitFindsTooManyRequests(t *testing.T) {
+	is := is.New(t)
+	begin := time.Unix(1000, 0)
+	var arrivals []time.Time
+	for i := range 40 {
+		arrivals = append(arrivals, begin.Add(time.Duration(i)*250*time.Millisecond))
+	}
+	is.True(checkLimit(arrivals, begin, begin.Add(time.Minute)) != "")
+	is.Equal(checkLimit(arrivals, begin.Add(8*time.Second), begin.Add(time.Minute)), "")
+	is.Equal(checkLimit(arrivals[:14], begin, begin.Add(time.Minute)), "")
+}
+
 // firstServerCode is the lowest code that is not the caller's mistake.
 const firstServerCode = 2000
 
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -23,6 +23,7 @@
 	link       kind = "link"
 	storeFault kind = "store"
 	configure  kind = "apply"
+	limit      kind = "limit" // a rate limit that a service names
 )
 
 const (
@@ -39,6 +40,9 @@
 	// of a stopping node's lag, and lateInterval is the time between them.
 	lateCallers  = 40
 	lateInterval = 300 * time.Microsecond
+	// limitTime is how long a service names a limit, limitPerSecond.
+	limitTime      = 9 * time.Second
+	limitPerSecond = 1.5
 )
 
 // event is one fault or planned event. Begin and End are relative to the begin of the
@@ -108,6 +112,17 @@
 		freeAt[e.Target] = e.End + settleTime
 		out = append(out, e)
 	}
+	return append(out, scheduleLimits(seed, length)...)
+}
+
+// scheduleLimits draws when each server of the service names a limit.
+func scheduleLimits(seed uint64, length time.Duration) []event {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var out []event
+	for i := range recordsCount {
+		begin := randomTime(rng, 0, length/2)
+		out = append(out, event{Begin: begin, End: begin + limitTime, Kind: limit, Target: numbered("limit-records", i), Argument: fmt.Sprint(limitPerSecond)})
+	}
 	return out
 }
 
@@ -141,7 +156,7 @@
 			kinds[string(e.Kind)+e.Argument] = true
 		}
 	}
-	is.Equal(len(kinds), 5+len(linkFaults)+5) // every kind with every argument
+	is.Equal(len(kinds), 5+len(linkFaults)+5+1) // every kind with every argument
 	is.True(printSchedule(schedule(1, time.Second)) != printSchedule(schedule(2, time.Second)))
 }
 
@@ -188,6 +203,10 @@
 	case storeFault:
 		first = func() error { return control(c.address("lists"), "/fault/"+e.Argument) }
 		second = func() error { return control(c.address("lists"), "/fault/none") }
+	case limit:
+		server := c.address(strings.TrimPrefix(e.Target, "limit-"))
+		first = func() error { return control(server, "/control/limit/"+e.Argument) }
+		second = func() error { return control(server, "/control/limit/none") }
 	case configure:
 		first = s.applyNext
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -94,6 +94,7 @@
 	cancel()
 	wait.Wait()
 	s.checkAll()
+	s.checkLimits(events)
 	t.Logf("seed %d: serves after %s, %s", seed, recovered.Sub(faultsEnded).Round(time.Millisecond), s.summary(events))
 	if len(s.violations) > 0 {
 		path := filepath.Join(t.ArtifactDir(), "violations.txt")
@@ -213,6 +214,27 @@
 	}
 }
 
+// checkLimits checks that the servers of the service got no more requests than their limits
+// allow, from the time on from which the users' rule holds.
+func (s *soak) checkLimits(events []event) {
+	for _, e := range events {
+		if e.Kind != limit {
+			continue
+		}
+		var nanos []int64
+		if err := getJSON(s.cluster.address(strings.TrimPrefix(e.Target, "limit-")), "/control/arrivals", &nanos); err != nil {
+			s.report("read the requests of %s: %v", e.Target, err)
+		}
+		var arrivals []time.Time
+		for _, n := range nanos {
+			arrivals = append(arrivals, time.Unix(0, n))
+		}
+		if what := checkLimit(arrivals, s.begin.Add(e.Begin+limitContact), s.begin.Add(e.End)); what != "" {
+			s.report("%s: %s", e.Target, what)
+		}
+	}
+}
+
 // runs returns how often the services ran the sign-off of a sample.
 func (s *soak) runs(sample string) int {
 	total := 0
--- a/internal/standin/ratelimit/ratelimit.go
+++ b/internal/standin/ratelimit/ratelimit.go
@@ -3,11 +3,14 @@
 package ratelimit
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/gorilla/mux"
+
 	"eelgrassring.dev/internal/engine"
 )
 
@@ -41,6 +44,38 @@
 	return append([]time.Time(nil), l.arrivals...)
 }
 
+// Register adds to a router the paths by which tests of processes set the limit and read the
+// requests: POST /control/limit/{perSecond}, where none ends the limit, and GET
+// /control/arrivals, the times of the requests in Unix nanoseconds.
+func (l *Limit) Register(r *mux.Router) {
+	r.HandleFunc("/control/limit/{perSecond}", l.serveSet).Methods(http.MethodPost)
+	r.HandleFunc("/control/arrivals", l.serveArrivals).Methods(http.MethodGet)
+}
+
+// serveSet sets or ends the limit.
+func (l *Limit) serveSet(w http.ResponseWriter, r *http.Request) {
+	text := mux.Vars(r)["perSecond"]
+	if text == "none" {
+		l.End()
+		return
+	}
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	l.Set(perSecond)
+}
+
+// serveArrivals responds with the times of the requests.
+func (l *Limit) serveArrivals(w http.ResponseWriter, _ *http.Request) {
+	out := []int64{}
+	for _, at := range l.Arrivals() {
+		out = append(out, at.UnixNano())
+	}
+	_ = json.NewEncoder(w).Encode(out)
+}
+
 // Wrap returns a handler that records each request and names the limit in its response.
 func (l *Limit) Wrap(h http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/service/server.go
+++ b/internal/standin/service/server.go
@@ -52,6 +52,7 @@
 	r.HandleFunc("/signoffs", s.Limit.Wrap(s.countSignoff)).Methods(http.MethodPost)
 	r.HandleFunc("/signoffs/{sample}", s.Limit.Wrap(s.serveSignoffCount)).Methods(http.MethodGet)
 	r.HandleFunc("/echo", s.Limit.Wrap(s.echoBody))
+	s.Limit.Register(r)
 	return r
 }
 
