gateway, node, peer: a request that ends the heads of declared groups is contained

A broken connection whose head refuses the next one gives a strike against the digest of the request, by application; heartbeats carry strikes, sound requests and refusals, and one is sent at once for news. A request is refused with 3007 after two ends if nothing else was there, three otherwise, also before its claim. Completed responses acquit. Services of the own interface are left out: nothing tells one start of their servers from the next. The code of declared routes is not touched.

--- a/cmd/eelgrassd/app.go
+++ b/cmd/eelgrassd/app.go
@@ -125,7 +125,7 @@
 func newAdmin(s settings.Settings, n *node.Node, g *gateway.Server, m *metric.Registry, stop fx.Shutdowner) *admin.Server {
 	return admin.New(admin.Config{
 		Version: version, System: admin.NewDeclared(s.Name, n, g), Metrics: m,
-		Stop: func() { _ = stop.Shutdown() },
+		Stop: func() { _ = stop.Shutdown() }, Suspects: n.Suspects(), AnnounceSound: n.AnnounceSound,
 	})
 }
 
--- a/internal/fake/system.go
+++ b/internal/fake/system.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -30,6 +31,9 @@
 	LoadTime   time.Duration
 	FirstToken time.Duration
 	TokenGap   time.Duration
+	// Deadly is a text at which an engine ends when a request contains it. It starts again
+	// after a second. Empty means that none does.
+	Deadly string
 	// MaxReportAge is the age up to which nodes trust a backend server's status;
 	// zero means node.MaxReportAge.
 	MaxReportAge time.Duration
@@ -58,6 +62,8 @@
 	// startCount counts the starts of nodes and engines; incarnations are made
 	// from it.
 	startCount   int
+	deadlyEnds   int
+	isStopped    bool
 	ignoreGuards bool
 	cancels      []context.CancelFunc
 	background   sync.WaitGroup
@@ -98,6 +104,9 @@
 // Stop kills all nodes, crashes all backend servers and waits until their
 // background work has ended.
 func (s *System) Stop() {
+	s.mu.Lock()
+	s.isStopped = true
+	s.mu.Unlock()
 	for _, name := range s.NodeNames() {
 		s.KillNode(name)
 	}
@@ -181,11 +190,52 @@
 	s.cancels = append(s.cancels, cancel)
 	s.mu.Unlock()
 	s.background.Go(func() { e.WatchMembers(ctx) })
-	s.Net.StartHost(vm.Address, e.Handler())
+	s.Net.StartHost(vm.Address, s.withDeadly(name, e.Handler()))
 	s.VMList.SetState(name, ring.VMLive)
 	s.History.add(PresenceChange{At: time.Now(), VM: name, Present: true})
 }
 
+// withDeadly returns a handler under which the engine of a VM ends at a deadly request.
+func (s *System) withDeadly(name ring.VM, h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.options.Deadly == "" || r.Body == nil {
+			h.ServeHTTP(w, r)
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		if bytes.Contains(body, []byte(s.options.Deadly)) {
+			s.mu.Lock()
+			s.deadlyEnds++
+			s.mu.Unlock()
+			s.CrashEngine(name)
+			time.AfterFunc(time.Second, func() { s.restartEngine(name) })
+			return
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// restartEngine starts the engine of a VM unless the system has been stopped.
+func (s *System) restartEngine(name ring.VM) {
+	s.mu.Lock()
+	isStopped := s.isStopped
+	s.mu.Unlock()
+	if !isStopped {
+		s.StartEngine(name)
+	}
+}
+
+// DeadlyEnds returns how often an engine has ended at a deadly request.
+func (s *System) DeadlyEnds() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.deadlyEnds
+}
+
 // Limit returns the rate limit that the backend server of a VM names.
 func (s *System) Limit(name ring.VM) *ratelimit.Limit {
 	s.mu.Lock()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,10 +84,18 @@
 	defer func() { grant.Release() }()
 	for attempt := 1; ; attempt++ {
 		err := out.attempt(r.Context(), grant.Route(), attempt > 1)
+		if err == nil {
+			s.recordSound(c, q)
+		}
 		if err == nil || r.Context().Err() != nil {
 			return
 		}
 		s.logFailedAttempt(c, grant.Route(), err)
+		s.recordCrash(r.Context(), c, q, grant.Route(), err, out.hasRun())
+		if failure := s.awaitVerdict(r.Context(), c, q); failure != nil {
+			out.fail(failure)
+			return
+		}
 		if err.diverged || !out.mayContinue() || attempt == maxAttempts || !s.budget.Take(time.Now(), 1, nil) {
 			out.writeFailure(err)
 			return
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -147,6 +147,10 @@
 		s.writeFailure(w, c, failure)
 		return
 	}
+	if failure := s.awaitVerdict(r.Context(), c, q); failure != nil {
+		s.writeFailure(w, c, failure)
+		return
+	}
 	request := AcquireRequest{Workspace: c.caller.Workspace, Priority: c.caller.Application.Priority, Target: &q.target, AffinityKey: q.affinityKey, Deadline: c.deadline}
 	grant, failure := s.acquirePermitted(r, c, request)
 	if failure != nil {
--- a/internal/gateway/idempotency.go
+++ b/internal/gateway/idempotency.go
@@ -154,10 +154,12 @@
 	out := &relay{server: s, w: w, call: c, request: q, record: &bytes.Buffer{}, onEvent: grant.NotifyFirstToken}
 	err := out.attempt(ctx, grant.Route(), true)
 	if err == nil {
+		s.recordSound(c, q)
 		contentType := w.Header().Get("Content-Type")
 		return dispatchResult{response: &claim.Response{Status: out.status, ContentType: contentType, Body: out.record.Bytes()}, reply: func() {}}
 	}
 	s.logFailedAttempt(c, grant.Route(), err)
+	s.recordCrash(ctx, c, q, grant.Route(), err, out.hasRun())
 	return dispatchResult{notRun: !out.started && err.stage != stageSent, reply: func() { s.writeNonIdempotentFailure(out, err) }}
 }
 
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -52,6 +52,8 @@
 	record *bytes.Buffer
 	// status is the HTTP status sent to the caller.
 	status int
+	// startedAt is when the response header was sent, and lastEventAt when the last event came.
+	startedAt, lastEventAt time.Time
 	// onEvent is called for each event of a stream.
 	onEvent func()
 	// callerGone is set after a write to the caller has failed.
@@ -66,10 +68,15 @@
 	return !o.started || (o.request.stream && o.request.spliceable)
 }
 
-// writeFailure ends the response with the failure of the last attempt. If a stream has
-// started, the failure is sent as an error event.
-func (o *relay) writeFailure(err *attemptError) {
-	f := o.failureFor(err)
+// hasRun reports whether a server has sent events of the stream for strongStrikeTime. A server
+// that ends later has rather ended under another request.
+func (o *relay) hasRun() bool { return o.started && o.lastEventAt.Sub(o.startedAt) >= strongStrikeTime }
+
+// writeFailure ends the response with the failure of the last attempt.
+func (o *relay) writeFailure(err *attemptError) { o.fail(o.failureFor(err)) }
+
+// fail ends the response with a failure. If a stream has started, it is sent as an error event.
+func (o *relay) fail(f *ring.Failure) {
 	if o.started {
 		o.writeStreamFailure(f)
 		return
@@ -169,7 +176,7 @@
 
 // writeHeader sends the response header to the caller.
 func (o *relay) writeHeader(resp *http.Response) {
-	o.started = true
+	o.started, o.startedAt = true, time.Now()
 	o.status = resp.StatusCode
 	h := o.w.Header()
 	h.Set("Content-Type", resp.Header.Get("Content-Type"))
@@ -234,7 +241,7 @@
 			s.config.Metrics.Observe(metric.LatencyTokenGap, o.call.class, now.Sub(last))
 			s.table.ObserveGap(route.Group, now.Sub(last))
 		}
-		last = now
+		last, o.lastEventAt = now, now
 		if !o.started {
 			s.config.Metrics.Observe(metric.LatencyFirstToken, o.call.class, time.Since(o.call.receivedAt))
 			o.writeHeader(resp)
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -68,6 +68,7 @@
 	if n.demand != nil {
 		p.Demand = n.demand.Demand()
 	}
+	n.addSuspects(&p, time.Now())
 	return p
 }
 
@@ -77,17 +78,22 @@
 func (n *Node) runHeartbeats(ctx context.Context) {
 	lost := map[string]bool{}
 	clock.Every(ctx, n.config.Timing.HeartbeatInterval, func(ctx context.Context) {
-		self := n.localState()
-		n.reservations.Reconcile(n.config.Name, self.Outstanding)
-		var wait sync.WaitGroup
-		for _, p := range n.table.Peers() {
-			wait.Go(func() { n.sendHeartbeat(ctx, p, self) })
-		}
-		wait.Wait()
+		n.sendHeartbeats(ctx)
 		n.updateLostPeers(lost, time.Now())
 	})
 }
 
+// sendHeartbeats sends this node's state to all known peers and waits until that has ended.
+func (n *Node) sendHeartbeats(ctx context.Context) {
+	self := n.localState()
+	n.reservations.Reconcile(n.config.Name, self.Outstanding)
+	var wait sync.WaitGroup
+	for _, p := range n.table.Peers() {
+		wait.Go(func() { n.sendHeartbeat(ctx, p, self) })
+	}
+	wait.Wait()
+}
+
 // sendHeartbeat sends self, this node's state, to one peer. If the peer's
 // configuration is newer, this node fetches it from the peer. A failed heartbeat is
 // not repeated.
@@ -148,7 +154,8 @@
 	p.HeardAt = time.Now()
 	p.Configuration = nil
 	n.applyLimits(p.Limits)
-	p.Limits = nil
+	n.applySuspects(p)
+	p.Limits, p.Strikes, p.Sound, p.Refusals = nil, nil, nil, nil
 	if _, number := n.table.Configuration(); p.ConfigNumber != number {
 		p.Demand, p.Outstanding = n.table.peerCounts(p.Name)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"eelgrassring.dev/internal/placement"
 	"eelgrassring.dev/internal/quota"
 	"eelgrassring.dev/internal/reservation"
+	"eelgrassring.dev/internal/suspect"
 )
 
 // Timing holds the intervals of a node's loops and the TTLs of its leases.
@@ -132,6 +133,11 @@
 	outbox       *outbox
 	// quota gets the permits for requests to limited backend servers.
 	quota *quota.Client
+	// suspects holds the requests under which servers have ended. news are those findings of
+	// this node that heartbeats carry, and newsAdded asks for one at once.
+	suspects  *suspect.Registry
+	news      *suspectNews
+	newsAdded chan struct{}
 
 	mu           sync.Mutex
 	draining     bool
@@ -159,6 +165,9 @@
 		reservations: reservation.NewTable(),
 		outbox:       newOutbox(),
 		storeUp:      true,
+		suspects:     &suspect.Registry{},
+		news:         &suspectNews{},
+		newsAdded:    make(chan struct{}, 1),
 	}
 	n.quota = quota.NewClient(n)
 	return n
@@ -179,7 +188,7 @@
 func (n *Node) Run(ctx context.Context) {
 	var wait sync.WaitGroup
 	for _, loop := range []func(context.Context){
-		n.runWatch, n.runResync, n.runProbes, n.runVMList, n.runMembership, n.runHeartbeats, n.runController, n.runPeriodicChecks, n.runSlotUpdates,
+		n.runWatch, n.runResync, n.runProbes, n.runVMList, n.runMembership, n.runHeartbeats, n.runSuspectNews, n.runController, n.runPeriodicChecks, n.runSlotUpdates,
 	} {
 		wait.Go(func() { loop(ctx) })
 	}
--- a/internal/node/table.go
+++ b/internal/node/table.go
@@ -29,6 +29,7 @@
 	"eelgrassring.dev/internal/deployment"
 	"eelgrassring.dev/internal/placement"
 	"eelgrassring.dev/internal/quota"
+	"eelgrassring.dev/internal/suspect"
 )
 
 // MaxReportAge is the maximum age, in production, of a backend server's report. A
@@ -64,6 +65,11 @@
 	Leaving []ring.VM
 	// Limits are rate limits of backend servers that the peer knows.
 	Limits []quota.Observation
+	// Strikes and Sound are what the peer has found lately of requests and the ends of
+	// servers, and Refusals those that it refuses.
+	Strikes  []suspect.Strike
+	Sound    []suspect.Digest
+	Refusals []suspect.Refusal
 	// Configuration is used to encode a heartbeat: it gives the order of the counts
 	// in Demand and Outstanding. It is set only in a node's own heartbeat and is not
 	// sent.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -268,6 +268,7 @@
 	for _, o := range p.Limits {
 		out.Limits = append(out.Limits, &pb.Limit{Server: uint64(o.Server), Limited: o.IsLimited, PerSecond: o.PerSecond, AgeMs: now.Sub(o.At).Milliseconds()})
 	}
+	encodeSuspects(out, p, now)
 	if c == nil {
 		return out
 	}
@@ -298,6 +299,7 @@
 	for _, l := range r.Limits {
 		p.Limits = append(p.Limits, quota.Observation{Server: quota.Key(l.Server), IsLimited: l.Limited, PerSecond: l.PerSecond, At: now.Add(-millis(l.AgeMs))})
 	}
+	decodeSuspects(&p, r, now)
 	if c == nil || len(r.Running) != len(c.Workspaces()) || len(r.Queued) != len(r.Running) || len(r.Outstanding) != len(c.Groups()) {
 		return p
 	}
--- a/internal/peer/permit_test.go
+++ b/internal/peer/permit_test.go
@@ -10,6 +10,7 @@
 
 	"eelgrassring.dev/internal/node"
 	"eelgrassring.dev/internal/quota"
+	"eelgrassring.dev/internal/suspect"
 )
 
 // TestPermitRoundTrip checks that a request for a permit and its reply reach the other node
@@ -55,3 +56,23 @@
 	is.True(p.Limits[0].IsLimited && !p.Limits[1].IsLimited)
 	is.True(p.Limits[1].At.Sub(at).Abs() < 100*time.Millisecond)
 }
+
+// TestHeartbeatCarriesSuspects checks that strikes, sound requests and refusals survive a heartbeat.
+func TestHeartbeatCarriesSuspects(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	sent := node.Peer{
+		Name:     "n",
+		Strikes:  []suspect.Strike{{Subject: 1 << 63, Server: "vm1", Incarnation: "i", IsStrong: true}, {Subject: 2, Server: "vm2"}},
+		Sound:    []suspect.Digest{3},
+		Refusals: []suspect.Refusal{{Subjects: []suspect.Digest{4, 5}, Since: now.Add(-2 * time.Second), DecidedAt: now.Add(-time.Second), Until: now.Add(time.Minute), IsLate: true}},
+	}
+	got := DecodeHeartbeat(EncodeHeartbeat(sent, nil), nil)
+	is.Equal(got.Strikes, sent.Strikes)
+	is.Equal(got.Sound, sent.Sound)
+	is.Equal(got.Refusals[0].Subjects, sent.Refusals[0].Subjects)
+	is.True(got.Refusals[0].IsLate)
+	for got, want := range map[time.Time]time.Time{got.Refusals[0].Since: sent.Refusals[0].Since, got.Refusals[0].DecidedAt: sent.Refusals[0].DecidedAt, got.Refusals[0].Until: sent.Refusals[0].Until} {
+		is.True(got.Sub(want).Abs() < 100*time.Millisecond)
+	}
+}
