gateway: a request that waits for a permit is refused once it is suspected

By reading: a request that had a permit for a time ahead was sent at that time, although it had been refused as a suspect meanwhile, so one more server could end under it. TestRequestThatWaitsForAPermitIsRefusedOnceSuspected failed before, for services with models and without. The verdict is asked once more when the permit may be used.

--- a/internal/gateway/frontlimit_test.go
+++ b/internal/gateway/frontlimit_test.go
@@ -12,6 +12,7 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/route"
+	"eelgrassring.dev/internal/suspect"
 )
 
 const (
@@ -178,6 +179,28 @@
 	}
 }
 
+// TestRequestThatWaitsForAPermitIsRefusedOnceSuspected guards against sending a request that
+// was refused while it waited for its permit.
+func TestRequestThatWaitsForAPermitIsRefusedOnceSuspected(t *testing.T) {
+	for target, service := range map[string]ring.Service{"/draft/x": "engine", "/write/x": "app"} {
+		withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+			h.handle = func(_ string, _ int, _ receivedRequest, c net.Conn) { respond(c, 200, "id1", "done", "T-Limit: 8\r\n") }
+			for range 12 { // Each server names its limit, and has no permit left.
+				h.call("POST", target, "x")
+			}
+			reached := len(h.requests())
+			part := requestContent{service: service, model: "m", parts: []string{"p"}}.subjects()[1]
+			time.AfterFunc(time.Millisecond, func() {
+				now := time.Now()
+				h.front.config.Suspects.Adopt(suspect.Refusal{Subjects: []suspect.Digest{part}, Since: now, DecidedAt: now, Until: now.Add(time.Minute)}, now)
+			})
+			w, _ := h.call("POST", target, "x", "T-Parts", "p")
+			is.Equal(w.Header().Get(headerCode), "3007")
+			is.Equal(len(h.requests()), reached)
+		})
+	}
+}
+
 // TestOtherResponsesDoNotChangeALimit guards against a limit that is lifted by a response that
 // cannot be read, or of another server at the same address, or of another request.
 func TestOtherResponsesDoNotChangeALimit(t *testing.T) {
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -234,6 +234,10 @@
 		if !ok {
 			break
 		}
+		if failure := f.refuseSuspect(req); failure != nil { // It may have waited for a permit.
+			f.servers.cancel(server)
+			return failure
+		}
 		p.tried[server.ID] = true
 		req.destination = string(server.ID)
 		isLast := req.attempts+1 >= req.route.MaxAttempts
--- a/internal/gateway/selector.go
+++ b/internal/gateway/selector.go
@@ -128,13 +128,13 @@
 		if mayTry {
 			c, candidates, ok = s.tryAcquire(ctx, req, tried, prefill, rank, s.maxPermitWait(req, prefill, deadline, now), now)
 		}
-		if ok && s.awaitPermit(ctx, c) {
+		if ok && s.awaitPermit(ctx, req, c) {
 			req.queuedFor += time.Since(start)
 			s.assign(req, c, prefill)
 			return c.Replica, nil
 		}
 		if ok && ctx.Err() == nil {
-			continue // The replica has closed while the request waited for its permit.
+			continue // The replica has closed, or the request is refused, since it got its permit.
 		}
 		if until, areLimited := s.permitsUntil(candidates, now); areLimited && until.After(deadline) {
 			req.queuedFor += now.Sub(start)
@@ -192,14 +192,17 @@
 }
 
 // awaitPermit waits until the permit for a candidate may be used. It returns false and gives
-// up the candidate if it takes no requests then, or if the context ends first.
-func (s *replicaSelector) awaitPermit(ctx context.Context, c fleet.Candidate) bool {
+// up the candidate if it takes no requests then, if the request may not be sent any more, or if
+// the context ends first.
+func (s *replicaSelector) awaitPermit(ctx context.Context, req *frontRequest, c fleet.Candidate) bool {
 	wait := time.Until(c.SendAt)
 	if wait <= 0 {
 		return true
 	}
 	if clock.Sleep(ctx, wait) && s.fleet.MayGetRequests(c.Replica, time.Now()) {
-		return true
+		if mayTry, failure := s.mayTry(req); mayTry && failure == nil {
+			return true
+		}
 	}
 	s.fleet.EndRequest(c.Replica.Group, false)
 	return false
