--- a/internal/suspect/simulation_test.go
+++ b/internal/suspect/simulation_test.go
@@ -28,6 +28,8 @@
 	deadlyParts int
 	endAfter    time.Duration
 	rate        float64
+	// isMoving makes sound requests go on at another server when theirs has ended.
+	isMoving bool
 	// ends are the times at which servers ended under requests with each deadly part. sendsLate
 	// counts the deadly requests that were sent later than 3 s after the fifth end under their
 	// part, and refused the sound requests that were refused.
@@ -60,6 +62,8 @@
 	isIsolated bool
 	begunAt    time.Time
 	endsAt     time.Time
+	// hasRun is set if it had run for a while at another server.
+	hasRun bool
 }
 
 const (
@@ -112,11 +116,36 @@
 	name := ring.VM(fmt.Sprint(i))
 	for _, r := range server.requests {
 		for _, d := range r.subjects {
-			s.registry.Add(Strike{Subject: d, Server: name, Incarnation: fmt.Sprint(server.life), IsStrong: s.now.Sub(r.begunAt) < 500*time.Millisecond}, s.now)
+			s.registry.Add(Strike{Subject: d, Server: name, Incarnation: fmt.Sprint(server.life), IsStrong: !r.hasRun && s.now.Sub(r.begunAt) < 500*time.Millisecond}, s.now)
 		}
 	}
+	broken := server.requests
 	server.requests, server.downTill = nil, s.now.Add(3*time.Second)
 	server.life++
+	for _, r := range broken {
+		if s.isMoving && !r.isDeadly {
+			s.resume(r)
+		}
+	}
+}
+
+// resume lets a sound request go on at another server.
+func (s *simulation) resume(r simRequest) {
+	judgement := s.registry.Judge(r.subjects, s.now)
+	if judgement.Refusal != nil {
+		s.refused++
+		return
+	}
+	if judgement.IsPending || judgement.IsRare {
+		return // Its caller gets a failure, and may repeat it.
+	}
+	i := s.random.IntN(len(s.servers))
+	if s.now.Before(s.servers[i].downTill) {
+		return
+	}
+	r.hasRun = r.hasRun || s.now.Sub(r.begunAt) >= 500*time.Millisecond
+	r.begunAt, r.endsAt = s.now.Add(50*time.Millisecond), s.now.Add(time.Duration(100+s.random.IntN(2000))*time.Millisecond)
+	s.servers[i].requests = append(s.servers[i].requests, r)
 }
 
 // step plays simStep: new requests, responses that are complete or go on, and ends.
@@ -270,6 +299,29 @@
 	})
 }
 
+// TestDeadlyPartIsFoundAmongMovingStreams guards against refusing sound streams, or sending on
+// deadly requests, because streams move from the servers that end to others that end next.
+func TestDeadlyPartIsFoundAmongMovingStreams(t *testing.T) {
+	forSeeds(t, func(t *testing.T, seed uint64) {
+		s := newSimulation(seed)
+		s.isMoving = true
+		for range 200 {
+			s.step()
+		}
+		s.deadlyShare = []float64{0, 0.01, 0.03, 0.1}[seed%4]
+		for range 1500 {
+			s.step()
+			if s.random.Float64() < 0.15*float64(len(s.servers))/1500 {
+				s.end(s.random.IntN(len(s.servers)))
+			}
+		}
+		if s.refused > 0 || s.mostLate() > 3 {
+			refusals, _ := s.registry.Decide(s.now)
+			t.Errorf("seed %d: servers ended %v, deadly requests were sent late %v, %d sound requests refused: %+v", seed, len(s.ends), s.sendsLate, s.refused, refusals)
+		}
+	})
+}
+
 // TestTwoDeadlyPartsAreFound plays two parts that end each server, at the same time. Requests with
 // one of them do not have the other.
 func TestTwoDeadlyPartsAreFound(t *testing.T) {
