quota, agent: nodes that lose each other do not begin to give permits at the same time

Traced: when thirty nodes are cut in two, the fifteen without the root each take themselves for the only node, at a thirtieth of the limit, and their schedules began together, so their first permits came at once, 7.5 s later; and the side of the root went on to give the whole limit, since a node in the tree counts all that are registered.

The first permit of a schedule is late by a part of an interval that differs between nodes, and in the tree the share is by the number of nodes that the root counts.

--- a/internal/agent/permits.go
+++ b/internal/agent/permits.go
@@ -71,8 +71,9 @@
 
 // quotaMembers returns the members among which home nodes are chosen, the addresses of the
 // peers among them, and the number of nodes that this node is in touch with, itself
-// included. In the tree of nodes, where a node does not hear of all others, these are all
-// that are registered, unless it is out of touch with the root; mu is held.
+// included. In the tree of nodes, where a node does not hear of all others, the members are all
+// that are registered, and the root counts those that are in touch; a node that is out of touch
+// with the root is alone. mu is held.
 func (a *Agent) quotaMembers(now time.Time) (members []string, homes map[string]string, inTouch int) {
 	usesTree := a.usesTreeLocked()
 	isInTree := usesTree && (a.isController.Load() || now.Sub(a.tree.summaryAt) <= parentTimeout)
@@ -94,6 +95,9 @@
 		members = append(members, a.config.Name)
 	}
 	slices.Sort(members)
+	if isInTree {
+		inTouch = a.tree.nodeCount // as the root has counted them
+	}
 	return members, homes, inTouch
 }
 
--- a/internal/quota/gate.go
+++ b/internal/quota/gate.go
@@ -16,6 +16,8 @@
 	// not reply, and otherHomeDelay after a node replied that it is not the home node.
 	unansweredDelay = 300 * time.Millisecond
 	otherHomeDelay  = 100 * time.Millisecond
+	// phaseSteps is the number of different phases of home nodes.
+	phaseSteps = 1024
 	// minDenial is the least time after a denial until the next try.
 	minDenial = 5 * time.Millisecond
 )
@@ -178,7 +180,14 @@
 }
 
 // rateOf returns the rate at which a home node gives permits.
-func rateOf(o Observation, v View) float64 { return max(o.PerSecond, MinPerSecond) * v.Share }
+func rateOf(o Observation, v View) homeRate {
+	hash := routing.RendezvousScore(uint64(o.Server), routing.Hash(v.Self))
+	phase := float64(hash%phaseSteps) / phaseSteps
+	if len(v.Members) == 1 && v.Share == 1 {
+		phase = 0 // There is no other node.
+	}
+	return homeRate{perSecond: max(o.PerSecond, MinPerSecond) * v.Share, phase: phase}
+}
 
 // Grant returns the reply to another node's request for a permit. Only the node that takes
 // itself for the home node gives one.
@@ -241,7 +250,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.homeOf(k, v) == v.Self {
-		return later(g.meter.next(k, intervalOf(rateOf(o, v)), now), now)
+		return later(g.meter.next(k, rateOf(o, v), now), now)
 	}
 	return later(g.deniedUntil[k], now)
 }
--- a/internal/quota/meter.go
+++ b/internal/quota/meter.go
@@ -17,12 +17,12 @@
 	nextAt map[Key]time.Time
 }
 
-// reserve takes the next permit of a server with the given rate. It returns the time at
+// reserve takes the next permit of a server. It returns the time at
 // which the permit may be used, and false if that is later than maxWait from now: then it
 // takes no permit, and returns when another try may succeed.
-func (m *meter) reserve(k Key, perSecond float64, maxWait time.Duration, now time.Time) (time.Time, bool) {
-	interval := intervalOf(perSecond)
-	next := m.next(k, interval, now)
+func (m *meter) reserve(k Key, r homeRate, maxWait time.Duration, now time.Time) (time.Time, bool) {
+	interval := intervalOf(r.perSecond)
+	next := m.next(k, r, now)
 	at := later(next, now)
 	if at.Sub(now) > maxWait {
 		return at.Add(-maxWait), false
@@ -33,11 +33,12 @@
 
 // next returns when the next permit of a server is due, at the earliest so long ago that
 // savedPermits more are due at once. It begins the schedule of a server that is new.
-func (m *meter) next(k Key, interval time.Duration, now time.Time) time.Time {
+func (m *meter) next(k Key, r homeRate, now time.Time) time.Time {
+	interval := intervalOf(r.perSecond)
 	next, known := m.nextAt[k]
 	if !known {
 		m.prune(now)
-		next = now.Add(interval)
+		next = now.Add(interval + time.Duration(r.phase*float64(interval)))
 		m.nextAt[k] = next
 	}
 	// After a rise of the limit, permits that are due by the former one come sooner.
@@ -56,6 +57,14 @@
 	}
 }
 
+// homeRate is how a home node gives a server's permits. phase, from 0 to 1, is the part of an
+// interval by which its first one is late, which differs between nodes: those that lose each
+// other at the same time must not begin together.
+type homeRate struct {
+	perSecond float64
+	phase     float64
+}
+
 // intervalOf returns the time between two permits at a rate.
 func intervalOf(perSecond float64) time.Duration {
 	return time.Duration(min(float64(time.Second)/perSecond, float64(maxInterval)))
