--- a/internal/agent/permits.go
+++ b/internal/agent/permits.go
@@ -26,7 +26,7 @@
 )
 
 // permits holds what a node needs to get and give permits for limited servers. It is
-// guarded by Agent.mu, but for the limiters.
+// guarded by Agent.mu, but for the limiters and what only the digest loop uses.
 type permits struct {
 	askLimiter   *rate.Limiter
 	replyLimiter *rate.Limiter
@@ -37,7 +37,8 @@
 	view   quota.View
 	viewAt time.Time
 	homes  map[string]string
-	// repeatAt is when limits are next repeated, and repeated counts those that were.
+	// repeatAt is when limits are next repeated, and repeated counts those that were. Only the
+	// digest loop uses them.
 	repeatAt time.Time
 	repeated int
 }
