--- a/internal/admin/routed.go
+++ b/internal/admin/routed.go
@@ -62,6 +62,9 @@
 func (r *Routed) UpdateGauges(registry *metric.Registry) {
 	number, _ := r.agent.ActiveConfig()
 	registry.SetGauge("configuration_number", float64(number))
+	if age, ok := r.agent.ConfirmedAge(); ok {
+		registry.SetGauge("configuration_confirmed_age_seconds", age.Seconds())
+	}
 	accepting := 0 // replicas that accept requests
 	for _, s := range r.fleet.ReplicaStatuses(time.Now()) {
 		if s.Reason == fleet.ReasonNone {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -212,6 +212,8 @@
 	retryPool    *retry.Pool
 	draining     atomic.Bool
 	isController atomic.Bool
+	// acceptsKeys is the last result of MayAcceptAPIKeys, for the log.
+	acceptsKeys atomic.Bool
 	// hasFullRegistry is set as soon as the registry has been listed in this node's
 	// term as the controller.
 	hasFullRegistry atomic.Bool
@@ -320,25 +322,6 @@
 // form replicas.
 func (a *Agent) IsController() bool { return a.isController.Load() }
 
-// ConfirmedAge returns how long ago the active configuration was last known to be
-// the newest one. The bool is false if that was never known.
-func (a *Agent) ConfirmedAge() (time.Duration, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.confirmedAt.IsZero() {
-		return 0, false
-	}
-	return a.confirmedAt.Age(), true
-}
-
-// MayAcceptAPIKeys reports whether the active configuration was confirmed recently
-// enough to accept the API keys that it contains: none of them can have been revoked
-// longer ago than Config.Revocation.
-func (a *Agent) MayAcceptAPIKeys() bool {
-	age, ok := a.ConfirmedAge()
-	return ok && age < a.config.Revocation-a.config.Timing.RevocationMargin
-}
-
 // IsReady reports whether the node can serve new connections: it has a recently
 // confirmed configuration and is not draining.
 func (a *Agent) IsReady() bool {
--- /dev/null
+++ b/internal/agent/confirmation.go
@@ -0,0 +1,118 @@
+package agent
+
+import (
+	"log/slog"
+	"time"
+
+	"eelgrassring.dev/internal/clock"
+	"eelgrassring.dev/internal/event"
+)
+
+const (
+	// fromStore names the store as the source of a configuration or a confirmation in the
+	// log. Other sources are the addresses of peers.
+	fromStore = "store"
+	// confirmationGap is the age from which a confirmation is logged when a later one
+	// replaces it.
+	confirmationGap = 2500 * time.Millisecond
+	// treeConfirmAge is the time since the active configuration was confirmed after
+	// which a node below the root reads it from the store itself. The root reads it
+	// every 0.4 s and sends a summary every 0.3 s, of which one or two may be lost.
+	treeConfirmAge = 1500 * time.Millisecond
+	// confirmSlack is added to the age of a confirmation in a message, for the time
+	// that the datagram took.
+	confirmSlack = 50 * time.Millisecond
+)
+
+// ConfirmedAge returns how long ago the active configuration was last known to be
+// the newest one. The bool is false if that was never known.
+func (a *Agent) ConfirmedAge() (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.confirmedAt.IsZero() {
+		return 0, false
+	}
+	return a.confirmedAt.Age(), true
+}
+
+// MayAcceptAPIKeys reports whether the active configuration was confirmed recently
+// enough to accept the API keys that it contains: none of them can have been revoked
+// longer ago than Config.Revocation.
+func (a *Agent) MayAcceptAPIKeys() bool {
+	age, ok := a.ConfirmedAge()
+	accepts := ok && age < a.config.Revocation-a.config.Timing.RevocationMargin
+	if a.acceptsKeys.Swap(accepts) != accepts {
+		kind := event.KeysNotAccepted
+		if accepts {
+			kind = event.KeysAccepted
+		}
+		a.log.Write(kind, slog.Int64("number", a.configNumber()), slog.Int64("age_ms", age.Milliseconds()))
+	}
+	return accepts
+}
+
+// recordConfirmation records that a read of the configuration, by this node or a peer,
+// found no newer one than the active one. The start of the read becomes the
+// confirmation if it is later than the current confirmation. A read that began within
+// RestoreGrace after a restore of the store confirms nothing: what the operator wrote
+// last may be missing. from names the source for the log: fromStore or a peer's address.
+func (a *Agent) recordConfirmation(readStart clock.Instant, from string) {
+	if a.Routing() == nil {
+		return
+	}
+	restoredAt := a.config.Store.Era().ChangedAt
+	if !restoredAt.IsZero() && readStart.Age() > time.Since(restoredAt)-a.config.Timing.RestoreGrace {
+		return
+	}
+	a.mu.Lock()
+	before := a.confirmedAt
+	a.confirmedAt = laterInstant(before, readStart)
+	hasChanged := a.confirmedAt != before
+	a.mu.Unlock()
+	if hasChanged && (before.IsZero() || before.Age() > confirmationGap) {
+		a.logConfirmation(readStart.Age(), before, from)
+	}
+}
+
+// logConfirmation logs a confirmation of the given age that ends a gap: the one before was
+// old, or there was none.
+func (a *Agent) logConfirmation(age time.Duration, before clock.Instant, from string) {
+	attributes := []slog.Attr{slog.Int64("number", a.configNumber()), slog.String("from", from), slog.Int64("age_ms", age.Milliseconds())}
+	if !before.IsZero() {
+		attributes = append(attributes, slog.Int64("before_ms", before.Age().Milliseconds()))
+	}
+	a.log.Write(event.ConfigurationConfirmed, attributes...)
+}
+
+// isConfirmationFresh reports whether this node can skip the next read of the
+// configuration from the store. It can if the active configuration was confirmed
+// recently, or if there is none yet and the root of the tree of nodes will announce
+// one. It returns false at the root, on whose reads the other nodes rely.
+func (a *Agent) isConfirmationFresh() bool {
+	age, ok := a.ConfirmedAge()
+	switch {
+	case a.rootSendsChanges():
+		return !ok || age < treeConfirmAge
+	case a.IsController() && a.usesTree():
+		return false // The other nodes rely on this node's reads.
+	default:
+		return ok && age < a.config.Timing.ConfirmInterval
+	}
+}
+
+// applyConfigNumber compares a peer's configuration number with this node's. If the
+// peer's is larger, the configuration is read from the store or fetched from the peer
+// in the background. If they are equal and ageMillis is not negative, this node's
+// configuration is confirmed as of ageMillis ago.
+func (a *Agent) applyConfigNumber(from string, number, ageMillis int64) {
+	own := a.configNumber()
+	switch {
+	case number > own:
+		if !a.usesTree() || a.configReadLimiter.Allow() {
+			a.routingMirror.RequestSync()
+		}
+		a.fetchConfigLater(from, number)
+	case own > 0 && number == own && ageMillis >= 0:
+		a.recordConfirmation(clock.NewInstant().Earlier(time.Duration(ageMillis)*time.Millisecond+confirmSlack), from)
+	}
+}
--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -26,10 +26,6 @@
 	// the prefixes of the store whose changes the root sends. It can be long because
 	// the checksums in the root's summaries reveal missed changes sooner.
 	treeResyncInterval = time.Minute
-	// treeConfirmAge is the time since the active configuration was confirmed after
-	// which a node below the root reads it from the store itself. The root reads it
-	// every 0.4 s and sends a summary every 0.3 s, of which one or two may be lost.
-	treeConfirmAge = 1500 * time.Millisecond
 )
 
 // memberRecord is the value of a node's membership key in the store.
@@ -81,22 +77,6 @@
 	return max(interval, min(interval*time.Duration(nodes)/nodesAtFullRate, limit))
 }
 
-// isConfirmationFresh reports whether this node can skip the next read of the
-// configuration from the store. It can if the active configuration was confirmed
-// recently, or if there is none yet and the root of the tree of nodes will announce
-// one. It returns false at the root, on whose reads the other nodes rely.
-func (a *Agent) isConfirmationFresh() bool {
-	age, ok := a.ConfirmedAge()
-	switch {
-	case a.rootSendsChanges():
-		return !ok || age < treeConfirmAge
-	case a.IsController() && a.usesTree():
-		return false // The other nodes rely on this node's reads.
-	default:
-		return ok && age < a.config.Timing.ConfirmInterval
-	}
-}
-
 // nextConfirmDelay returns the time until this node reads the configuration from the
 // store again, unless a peer confirms it before. The root of the tree of nodes reads
 // more often, because the other nodes rely on its reads.
@@ -114,7 +94,7 @@
 	if c.Deleted || c.Entry.Key != a.config.Directory.RoutingKey() {
 		return // The active configuration stays.
 	}
-	a.activateRouting(c.Entry.Value, "store")
+	a.activateRouting(c.Entry.Value, fromStore)
 }
 
 // activateRouting parses a routing configuration and makes it the active one if its
@@ -146,7 +126,7 @@
 // the registry is watched, the read also shows that the store is reachable, so that the
 // watch has reported the changes of the registry up to then.
 func (a *Agent) recordRoutingRead(readStart clock.Instant) {
-	a.recordConfirmation(readStart)
+	a.recordConfirmation(readStart, fromStore)
 	if a.serversMirror.IsWatching() {
 		a.recordRegistryRead(readStart)
 	}
@@ -179,24 +159,6 @@
 	return a.registryReadAt.Age().Milliseconds()
 }
 
-// recordConfirmation records that a read of the configuration, by this node or a peer,
-// found no newer one than the active one. The start of the read becomes the
-// confirmation if it is later than the current confirmation. A read that began within
-// RestoreGrace after a restore of the store confirms nothing: what the operator wrote
-// last may be missing.
-func (a *Agent) recordConfirmation(readStart clock.Instant) {
-	if a.Routing() == nil {
-		return
-	}
-	restoredAt := a.config.Store.Era().ChangedAt
-	if !restoredAt.IsZero() && readStart.Age() > time.Since(restoredAt)-a.config.Timing.RestoreGrace {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.confirmedAt = laterInstant(a.confirmedAt, readStart)
-}
-
 // applyServerChange stores a change of the server registry in the fleet. At the root of
 // the tree of nodes, it also queues the change to be sent to the other nodes. An
 // invalid entry counts as deleted.
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -48,9 +48,6 @@
 	// peerTimeout is the time without a digest after which a peer counts as lost and
 	// its requests are no longer counted.
 	peerTimeout = 1500 * time.Millisecond
-	// confirmSlack is added to the age of a confirmation in a message, for the time
-	// that the datagram took.
-	confirmSlack = 50 * time.Millisecond
 )
 
 // campaignDelay returns how long this node waits before it tries to write the free
--- a/internal/agent/slow_test.go
+++ b/internal/agent/slow_test.go
@@ -19,7 +19,7 @@
 )
 
 // decisionCounter is a log handler that counts the controllers' decisions about replicas
-// and servers.
+// and servers, and all log lines by their message.
 type decisionCounter struct {
 	mu     sync.Mutex
 	counts map[string]int
@@ -32,11 +32,12 @@
 func (d *decisionCounter) WithGroup(string) slog.Handler                { return d }
 
 func (d *decisionCounter) Handle(_ context.Context, r slog.Record) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.counts[r.Message]++
 	if r.Message != event.ReplicaChanged.Name && r.Message != event.ControllerLoad.Name {
 		return nil
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	r.Attrs(func(a slog.Attr) bool {
 		switch a.Key {
 		case "what":
@@ -49,7 +50,7 @@
 	return nil
 }
 
-// count returns how often a decision was made.
+// count returns how often a decision was made, or a message was logged.
 func (d *decisionCounter) count(what string) int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/agent/summary.go
+++ b/internal/agent/summary.go
@@ -7,7 +7,6 @@
 	"time"
 
 	ring "eelgrassring.dev"
-	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/digest"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/retry"
@@ -186,23 +185,6 @@
 	a.fleet.UpdatePeer(treePeer, loads, stalled, now.Add(parentTimeout))
 }
 
-// applyConfigNumber compares a peer's configuration number with this node's. If the
-// peer's is larger, the configuration is read from the store or fetched from the peer
-// in the background. If they are equal and ageMillis is not negative, this node's
-// configuration is confirmed as of ageMillis ago.
-func (a *Agent) applyConfigNumber(from string, number, ageMillis int64) {
-	own := a.configNumber()
-	switch {
-	case number > own:
-		if !a.usesTree() || a.configReadLimiter.Allow() {
-			a.routingMirror.RequestSync()
-		}
-		a.fetchConfigLater(from, number)
-	case own > 0 && number == own && ageMillis >= 0:
-		a.recordConfirmation(clock.NewInstant().Earlier(time.Duration(ageMillis)*time.Millisecond + confirmSlack))
-	}
-}
-
 // fetchConfigLater fetches and activates the configuration of the peer at an address after a
 // delay, or at once if the store does not answer this node. It does nothing if a fetch is
 // already pending, or if this node has read a configuration with at least that number from
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -34,6 +34,9 @@
 	ServerRemoved            = Kind{208, "registry entry removed", slog.LevelInfo}
 	ServerInvalid            = Kind{209, "registry entry invalid", slog.LevelWarn}
 	StoreRestored            = Kind{210, "store was restored from a copy", slog.LevelWarn} // its era has risen; what was written last is gone until it is written again
+	ConfigurationConfirmed   = Kind{211, "configuration confirmed", slog.LevelInfo}        // it is known to be the newest one; written if that was last known a while ago
+	KeysNotAccepted          = Kind{212, "API keys not accepted", slog.LevelWarn}          // the configuration was last confirmed too long ago
+	KeysAccepted             = Kind{213, "API keys accepted", slog.LevelInfo}
 	PeerFound                = Kind{301, "peer found", slog.LevelInfo}
 	PeerLost                 = Kind{302, "peer lost", slog.LevelWarn}
 	ControllerLeaseAcquired  = Kind{303, "controller lease acquired", slog.LevelInfo}
@@ -75,7 +78,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		Started, Draining, Stopped, SettingsChecked,
-		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored,
+		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored, ConfigurationConfirmed, KeysNotAccepted, KeysAccepted,
 		PeerFound, PeerLost, ControllerLeaseAcquired, ControllerLeaseLost, MembershipLeaseLost, PeerRecordInvalid, DigestNotSent, ConfigurationFetchFailed,
 		GroupRecordWritten, GroupRecordRejected, OrderSent, OrderFailed, OrderFenced, VMLeaving, CapacityChanged, GroupRecovered,
 		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused, RefusalDecided, ServerLimited, LimitUnreadable, RefusalEnded,
