--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -92,6 +92,10 @@
 	drops func(to string, m digest.Message) bool
 	// isCut reports whether messages from one node to another are dropped; nil means never.
 	isCut func(from, to string) bool
+	// delays holds how long the messages to a node wait before it handles them, and
+	// heldUntil when a node that handles no messages at all does so again.
+	delays    map[string]time.Duration
+	heldUntil map[string]time.Time
 	// bytes and messages count what each node has sent since the last resetCounts.
 	bytes    map[string]int
 	messages map[string]int
@@ -118,6 +122,32 @@
 	n.isCut = isCut
 }
 
+// setDelay makes a node handle all later messages by a duration after they were sent.
+func (n *testNetwork) setDelay(name string, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delays[name] = delay
+}
+
+// hold makes a node handle no messages for a duration. Messages to it wait meanwhile, as in
+// the socket of a process that stands still.
+func (n *testNetwork) hold(name string, duration time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.heldUntil[name] = time.Now().Add(duration)
+}
+
+// handleAt returns when a node may handle a message that was sent at the given time.
+func (n *testNetwork) handleAt(name string, sentAt time.Time) time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at := sentAt.Add(n.delays[name])
+	if held := n.heldUntil[name]; held.After(at) {
+		return held
+	}
+	return at
+}
+
 // rejoin reconnects an isolated node.
 func (n *testNetwork) rejoin(name string) {
 	n.mu.Lock()
@@ -163,9 +193,15 @@
 	if to == nil || t.network.isolated[t.address] || t.network.isolated[address] || (t.network.drops != nil && t.network.drops(address, m)) || (t.network.isCut != nil && t.network.isCut(t.address, address)) {
 		return size - datagramOverhead, nil
 	}
-	from := t.address
+	from, sentAt := t.address, time.Now()
+	deliver := func() {
+		for at := t.network.handleAt(address, sentAt); time.Now().Before(at); at = t.network.handleAt(address, sentAt) {
+			time.Sleep(time.Until(at))
+		}
+		to.handle(from, m)
+	}
 	select {
-	case to.queue <- func() { to.handle(from, m) }:
+	case to.queue <- deliver:
 	default:
 	}
 	return size - datagramOverhead, nil
@@ -201,6 +237,10 @@
 	fetchTime atomic.Int64
 	// decisions counts the controllers' decisions.
 	decisions *decisionCounter
+	// run starts a goroutine that the end of the test waits for.
+	run func(func())
+	// ctx ends with the test.
+	ctx context.Context
 }
 
 // testConfigFetcher is a ConfigFetcher that reads the configuration from the agent
@@ -225,12 +265,13 @@
 func runCluster(t *testing.T, nodes int, test func(is *is.I, tc *testCluster)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		tc := &testCluster{keys: platform.NewKeyspace(), network: &testNetwork{transports: map[string]*testTransport{}, isolated: map[string]bool{}, bytes: map[string]int{}, messages: map[string]int{}}, decisions: &decisionCounter{counts: map[string]int{}}}
+		tc := &testCluster{keys: platform.NewKeyspace(), network: &testNetwork{transports: map[string]*testTransport{}, isolated: map[string]bool{}, delays: map[string]time.Duration{}, heldUntil: map[string]time.Time{}, bytes: map[string]int{}, messages: map[string]int{}}, decisions: &decisionCounter{counts: map[string]int{}}}
 		ctx, cancel := context.WithCancel(t.Context())
 		var wait sync.WaitGroup
+		tc.run, tc.ctx = wait.Go, ctx
 		wait.Go(func() { clock.Every(ctx, 50*time.Millisecond, func(context.Context) { tc.keys.ExpireLeases() }) })
 		for i := range nodes {
-			tc.startNode(ctx, &wait, nodeName(i))
+			tc.startNode(nodeName(i))
 		}
 		test(is.New(t), tc)
 		cancel()
@@ -249,22 +290,36 @@
 	return fmt.Sprintf("n%03d", i)
 }
 
-// startNode adds a node to the cluster and runs it until the context is cancelled.
-func (tc *testCluster) startNode(ctx context.Context, wait *sync.WaitGroup, name string) {
+// startNode adds a node to the cluster and runs it until the test ends or it is cancelled.
+func (tc *testCluster) startNode(name string) {
+	a, store, cancel := tc.newNode(name, "1", platform.FaultNone)
+	tc.agents, tc.stores, tc.cancels = append(tc.agents, a), append(tc.stores, store), append(tc.cancels, cancel)
+}
+
+// restartNode ends a node and starts it again under its name, with a fault of its
+// connection to the store.
+func (tc *testCluster) restartNode(i int, fault platform.Fault) {
+	tc.cancels[i]()
+	time.Sleep(time.Second) // It revokes its lease, if it can.
+	tc.agents[i], tc.stores[i], tc.cancels[i] = tc.newNode(nodeName(i), "2", fault)
+}
+
+// newNode runs a node until the test ends or it is cancelled.
+func (tc *testCluster) newNode(name, incarnation string, fault platform.Fault) (*Agent, *fake.Store, context.CancelFunc) {
 	transport := &testTransport{network: tc.network, address: name, queue: make(chan func(), 256)}
 	tc.network.mu.Lock()
 	tc.network.transports[name] = transport
 	tc.network.mu.Unlock()
 	store := fake.NewStore(tc.keys)
+	store.SetFault(fault)
 	a := New(Config{
-		Name: name, Incarnation: "1", PeerAddress: name, Transport: transport, Store: store, Directory: testDirectory{}, Control: testControl{}, ConfigFetcher: testConfigFetcher{tc},
+		Name: name, Incarnation: incarnation, PeerAddress: name, Transport: transport, Store: store, Directory: testDirectory{}, Control: testControl{}, ConfigFetcher: testConfigFetcher{tc},
 		Fleet: fleet.New(), Log: event.NewLog(slog.New(tc.decisions)), Timing: DefaultTiming(),
 		Composition: composition.DefaultOptions(), Revocation: 5 * time.Second,
 	})
-	tc.agents, tc.stores = append(tc.agents, a), append(tc.stores, store)
-	ctx, cancel := context.WithCancel(ctx)
-	tc.cancels = append(tc.cancels, cancel)
-	wait.Go(func() { a.Run(ctx) })
+	ctx, cancel := context.WithCancel(tc.ctx)
+	tc.run(func() { a.Run(ctx) })
+	return a, store, cancel
 }
 
 // writeConfig writes a routing configuration with the given number and one API key
@@ -476,12 +531,8 @@
 			cancel()
 		}
 		tc.agents, tc.stores, tc.cancels = nil, nil, nil
-		var wait sync.WaitGroup
-		defer wait.Wait()
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
 		for i := range 6 {
-			tc.startNode(ctx, &wait, "new-"+nodeName(i))
+			tc.startNode("new-" + nodeName(i))
 		}
 		for began := time.Now(); ; time.Sleep(20 * time.Millisecond) {
 			is.True(time.Since(began) < bound/4)
--- a/internal/agent/confirmation_test.go
+++ b/internal/agent/confirmation_test.go
@@ -33,3 +33,65 @@
 		is.Equal(tc.decisions.count(event.KeysAccepted.Name), 2)
 	})
 }
+
+// TestLateMessagesConfirmNothingNewer guards against a node that takes what a message said
+// when it was sent for true when it handles the message. A node without the store, whose
+// messages wait for 3 s, as they do while it stands still or is slow, would accept a key
+// for 3 s longer than if they were lost.
+func TestLateMessagesConfirmNothingNewer(t *testing.T) {
+	for _, nodes := range []int{3, 30} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(10 * time.Second)
+			node := tc.nodeBelowRoot()
+			tc.stores[node].SetFault(platform.FaultDown)
+			tc.network.setDelay(nodeName(node), 3*time.Second)
+			time.Sleep(6 * time.Second)
+			tc.expectNoOldKeys(t)
+		})
+	}
+}
+
+// TestStandstillConfirmsNothingNewer guards against nodes that stand still while a key is
+// revoked, handle the messages of before when they wake, and confirm the version with the
+// key to the others.
+func TestStandstillConfirmsNothingNewer(t *testing.T) {
+	runCluster(t, 30, func(is *is.I, tc *testCluster) {
+		tc.writeConfig(1)
+		time.Sleep(10 * time.Second)
+		for i, s := range tc.stores {
+			s.SetFault(platform.FaultDown)
+			if i%2 == 0 {
+				tc.network.hold(nodeName(i), 4*time.Second)
+			}
+		}
+		tc.expectNoOldKeys(t)
+	})
+}
+
+// nodeBelowRoot returns the index of the first node that is not the controller.
+func (tc *testCluster) nodeBelowRoot() int {
+	if tc.agents[0].IsController() {
+		return 1
+	}
+	return 0
+}
+
+// expectNoOldKeys revokes the key of version 1 while no node hands over the next version, and
+// reports an error if a node that has version 1 accepts keys 5 s later.
+func (tc *testCluster) expectNoOldKeys(t *testing.T) {
+	const bound = 5 * time.Second // Config.Revocation
+	tc.failsFetches = true
+	tc.writeConfig(2)
+	late, latest := map[string]bool{}, time.Duration(0)
+	for revokedAt := time.Now(); time.Since(revokedAt) < 3*bound; time.Sleep(50 * time.Millisecond) {
+		for _, a := range tc.agents {
+			if since := time.Since(revokedAt); since > bound && activeNumber(a) == 1 && a.MayAcceptAPIKeys() {
+				late[a.config.Name], latest = true, since
+			}
+		}
+	}
+	if len(late) > 0 {
+		t.Errorf("%d of %d nodes accept a key until %s after its revocation; the bound is %s", len(late), len(tc.agents), latest, bound)
+	}
+}
--- a/internal/agent/permits_test.go
+++ b/internal/agent/permits_test.go
@@ -84,13 +84,9 @@
 			time.Sleep(10 * time.Second)
 			observe(tc.agents[0], true, 4)
 			time.Sleep(time.Second)
-			ctx, cancel := context.WithCancel(context.Background())
-			var wait sync.WaitGroup
-			tc.startNode(ctx, &wait, "z")
+			tc.startNode("z")
 			time.Sleep(4 * time.Second)
 			is.Equal(tc.nodesWithoutLimit(), 0)
-			cancel()
-			wait.Wait()
 		})
 	}
 }
--- a/internal/agent/refusals_test.go
+++ b/internal/agent/refusals_test.go
@@ -1,9 +1,7 @@
 package agent
 
 import (
-	"context"
 	"fmt"
-	"sync"
 	"testing"
 	"time"
 
@@ -86,13 +84,9 @@
 			time.Sleep(10 * time.Second)
 			refusePart(is, tc.agents[0])
 			time.Sleep(time.Second)
-			ctx, cancel := context.WithCancel(context.Background())
-			var wait sync.WaitGroup
-			tc.startNode(ctx, &wait, "late")
+			tc.startNode("late")
 			time.Sleep(3 * time.Second)
 			is.Equal(tc.nodesThatSend(), 0)
-			cancel()
-			wait.Wait()
 		})
 	}
 }
