agent: a child without a confirmation confirms nothing to its parent

Callers could be served with a key after its revocation: a node adds the time since a child's report to the age of the child's confirmation, and -1, no confirmation, became 199 ms for a report of 200 ms ago. Nodes that join or return while the store refuses them are such children. The age is passed on as it is if there is none. Before: the test's report names an age of 199 ms where the node's own confirmation is over 4 s old; it passes now.

--- a/internal/agent/confirmation_test.go
+++ b/internal/agent/confirmation_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"eelgrassring.dev/internal/digest"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/standin/platform"
 )
@@ -95,3 +96,24 @@
 		t.Errorf("%d of %d nodes accept a key until %s after its revocation; the bound is %s", len(late), len(tc.agents), latest, bound)
 	}
 }
+
+// TestChildWithoutConfirmationConfirmsNothing guards against a node that adds the time since
+// a child's report to the age -1 of a child that has no confirmation, and so takes the
+// version for confirmed just now.
+func TestChildWithoutConfirmationConfirmsNothing(t *testing.T) {
+	runCluster(t, 14, func(is *is.I, tc *testCluster) {
+		tc.writeConfig(1)
+		time.Sleep(10 * time.Second)
+		a := tc.agents[tc.nodeBelowRoot()]
+		for i, s := range tc.stores {
+			s.SetFault(platform.FaultDown)
+			tc.network.isolate(nodeName(i))
+		}
+		time.Sleep(4500 * time.Millisecond)
+		a.applyReport("child", &digest.Report{Name: "child", Nodes: 1, ConfigNumber: 1, ConfirmedAgeMillis: -1})
+		time.Sleep(200 * time.Millisecond)
+		report := a.buildReport(time.Now())
+		is.Equal(report.ConfigNumber, int64(1))
+		is.True(report.ConfirmedAgeMillis > 4000)
+	})
+}
--- a/internal/agent/summary.go
+++ b/internal/agent/summary.go
@@ -73,7 +73,11 @@
 			total.Active = total.Active || s.Active
 			total.StalledMillis = max(total.StalledMillis, s.StalledMillis)
 		}
-		out.ConfigNumber, out.ConfirmedAgeMillis = newerConfig(out.ConfigNumber, out.ConfirmedAgeMillis, c.report.ConfigNumber, c.report.ConfirmedAgeMillis+now.Sub(c.heardAt).Milliseconds())
+		confirmedAge := c.report.ConfirmedAgeMillis
+		if confirmedAge >= 0 {
+			confirmedAge += now.Sub(c.heardAt).Milliseconds()
+		}
+		out.ConfigNumber, out.ConfirmedAgeMillis = newerConfig(out.ConfigNumber, out.ConfirmedAgeMillis, c.report.ConfigNumber, confirmedAge)
 	}
 	for _, s := range statuses {
 		out.Replicas = append(out.Replicas, *s)
