agent, mirror: a read of the store confirms only the value that it found

Callers could be served with a revoked key for as long as the store holds a value that a node cannot use: a listing confirmed the active configuration whatever it found, also a value that cannot be parsed, an older one, or none. Now a listing confirms the active configuration if it holds the revision that this node read with that number.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -223,6 +223,9 @@
 	mu sync.Mutex
 	// confirmedAt is the confirmation, as defined in the package comment.
 	confirmedAt clock.Instant
+	// storedConfig is the newest value of the routing configuration that this node has read
+	// from the store and can use.
+	storedConfig storedConfig
 	// serversListedAt is when the last complete listing of the registry began.
 	serversListedAt clock.Instant
 	// registryReadAt is the latest moment up to which this node is known to have read
@@ -283,6 +286,13 @@
 	text  []byte
 }
 
+// storedConfig identifies a value of the routing configuration in the store: the revision
+// that wrote it and the configuration's number.
+type storedConfig struct {
+	revision ring.Revision
+	number   int64
+}
+
 // Routing returns the routes of the active configuration, or nil if there is
 // none.
 func (a *Agent) Routing() *route.Table {
@@ -424,7 +434,7 @@
 		Prefix: a.config.Directory.ServerPrefix(), ResyncInterval: t.ResyncInterval, GracePeriod: t.GracePeriod, RestoreGrace: t.RestoreGrace, OnChange: a.applyServerChange, HasPeerFeed: a.rootSendsRegistry, OnSync: a.recordServersListed,
 	})
 	state = a.newMirror(mirror.Config{
-		Prefix: catalog.StatePrefix, ResyncInterval: t.ResyncInterval, RestoreGrace: t.RestoreGrace, ReportsAtOnce: func(key string) bool { return key == catalog.ControllerKey }, OnChange: a.applyStateChange, OnSync: func(clock.Instant) { a.recordStateListed() }, HasPeerFeed: a.canSkipStateWatch,
+		Prefix: catalog.StatePrefix, ResyncInterval: t.ResyncInterval, RestoreGrace: t.RestoreGrace, ReportsAtOnce: func(key string) bool { return key == catalog.ControllerKey }, OnChange: a.applyStateChange, OnSync: func(clock.Instant, []ring.Entry) { a.recordStateListed() }, HasPeerFeed: a.canSkipStateWatch,
 	})
 	return routing, servers, state
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -339,6 +339,13 @@
 	}
 }
 
+// deleteKey deletes a key of the store.
+func (tc *testCluster) deleteKey(key string) {
+	if _, err := tc.keys.Commit(context.Background(), ring.Txn{Writes: []ring.Write{{Key: key, Delete: true}}}); err != nil {
+		panic(err)
+	}
+}
+
 // configNumbers returns the number of each node's active configuration, or 0 for a
 // node that has none.
 func (tc *testCluster) configNumbers() []int64 {
--- a/internal/agent/confirmation_test.go
+++ b/internal/agent/confirmation_test.go
@@ -117,3 +117,36 @@
 		is.True(report.ConfirmedAgeMillis > 4000)
 	})
 }
+
+// TestUnusableValueConfirmsNothing guards against a read of the store that finds a value
+// which this node cannot use, or an older configuration, or none, and confirms the active one:
+// what the operator wrote last may have revoked a key.
+func TestUnusableValueConfirmsNothing(t *testing.T) {
+	older := []byte(`{"Number":1}`)
+	for name, write := range map[string]func(tc *testCluster){
+		"unreadable": func(tc *testCluster) { tc.writeKey("routing", []byte("{")) },
+		"older":      func(tc *testCluster) { tc.writeKey("routing", older) },
+		"deleted":    func(tc *testCluster) { tc.deleteKey("routing") },
+	} {
+		for _, nodes := range []int{3, 30} {
+			runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+				tc.writeConfig(2)
+				time.Sleep(10 * time.Second)
+				write(tc)
+				time.Sleep(5 * time.Second)
+				for _, a := range tc.agents {
+					if a.MayAcceptAPIKeys() {
+						t.Errorf("%s value, %d nodes: node %s accepts keys 5 s later", name, nodes, a.config.Name)
+						break
+					}
+				}
+				tc.writeConfig(3) // The next usable value ends it.
+				time.Sleep(3 * time.Second)
+				for _, a := range tc.agents {
+					is.Equal(activeNumber(a), int64(3))
+					is.True(a.MayAcceptAPIKeys())
+				}
+			})
+		}
+	}
+}
--- a/internal/agent/leaving_test.go
+++ b/internal/agent/leaving_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"slices"
 	"testing"
 	"time"
@@ -25,10 +24,7 @@
 // removeServer deletes the registry entry of the head of the replica with the given
 // index.
 func (tc *testCluster) removeServer(i int) {
-	write := ring.Write{Key: "server/" + string(headOfReplica(i).ID), Delete: true}
-	if _, err := tc.keys.Commit(context.Background(), ring.Txn{Writes: []ring.Write{write}}); err != nil {
-		panic(err)
-	}
+	tc.deleteKey("server/" + string(headOfReplica(i).ID))
 }
 
 // timeUntilUnused returns the time until no node sends to the replica, apart from the
--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -94,16 +95,21 @@
 	if c.Deleted || c.Entry.Key != a.config.Directory.RoutingKey() {
 		return // The active configuration stays.
 	}
-	a.activateRouting(c.Entry.Value, fromStore)
+	if number, ok := a.activateRouting(c.Entry.Value, fromStore); ok {
+		a.mu.Lock()
+		a.storedConfig = storedConfig{revision: c.Entry.Modified, number: number}
+		a.mu.Unlock()
+	}
 }
 
 // activateRouting parses a routing configuration and makes it the active one if its
-// number is larger. from names its source for the log: "store" or a peer's address.
-func (a *Agent) activateRouting(text []byte, from string) {
+// number is larger. It returns the number, or false if the text cannot be parsed. from
+// names its source for the log: fromStore or a peer's address.
+func (a *Agent) activateRouting(text []byte, from string) (number int64, ok bool) {
 	declared, err := a.config.Directory.ReadRouting(text)
 	if err != nil {
 		a.log.Write(event.ConfigurationInvalid, slog.Any("error", err), slog.String("from", from))
-		return
+		return 0, false
 	}
 	a.activateMu.Lock()
 	defer a.activateMu.Unlock()
@@ -112,7 +118,7 @@
 		if declared.Number < active.Number() {
 			a.log.Write(event.ConfigurationOutdated, slog.Int64("number", declared.Number), slog.Int64("in_force", active.Number()))
 		}
-		return
+		return declared.Number, true
 	}
 	a.activeConfig.Store(&configuration{table: route.NewTable(declared), text: text})
 	a.log.Write(event.ConfigurationActivated, slog.Int64("number", declared.Number), slog.Int("routes", len(declared.Routes)), slog.String("from", from))
@@ -120,18 +126,34 @@
 	if _, confirmed := a.ConfirmedAge(); !confirmed {
 		a.routingMirror.RequestSync() // The node is not ready until its first configuration is confirmed.
 	}
+	return declared.Number, true
 }
 
-// recordRoutingRead records a read of the routing configuration from the store. While
-// the registry is watched, the read also shows that the store is reachable, so that the
-// watch has reported the changes of the registry up to then.
-func (a *Agent) recordRoutingRead(readStart clock.Instant) {
-	a.recordConfirmation(readStart, fromStore)
+// recordRoutingRead records a read of the routing configuration from the store. It confirms
+// the active configuration if the store holds it. While the registry is watched, the read
+// also shows that the store is reachable, so that the watch has reported the changes of the
+// registry up to then.
+func (a *Agent) recordRoutingRead(readStart clock.Instant, listed []ring.Entry) {
+	if a.isActiveConfigIn(listed) {
+		a.recordConfirmation(readStart, fromStore)
+	}
 	if a.serversMirror.IsWatching() {
 		a.recordRegistryRead(readStart)
 	}
 }
 
+// isActiveConfigIn reports whether a listing of the store holds the active configuration. It
+// does not if the value is missing, cannot be parsed, or is an older configuration, which a
+// restored store may show.
+func (a *Agent) isActiveConfigIn(listed []ring.Entry) bool {
+	a.mu.Lock()
+	stored := a.storedConfig
+	a.mu.Unlock()
+	return stored.number == a.configNumber() && slices.ContainsFunc(listed, func(e ring.Entry) bool {
+		return e.Key == a.config.Directory.RoutingKey() && e.Modified == stored.revision
+	})
+}
+
 // recordRegistryRead records that this node has read the changes of the registry up to
 // a moment.
 func (a *Agent) recordRegistryRead(readStart clock.Instant) {
@@ -229,7 +251,7 @@
 
 // recordServersListed records that a complete listing of the registry, which began
 // at listStart, was applied.
-func (a *Agent) recordServersListed(listStart clock.Instant) {
+func (a *Agent) recordServersListed(listStart clock.Instant, _ []ring.Entry) {
 	a.recordRegistryRead(listStart)
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -58,8 +58,9 @@
 	OnChange           func(ring.Change)
 	OnConnectionChange func(up bool, err error)
 	// OnSync is called after each sync (full listing) with the time at which the sync
-	// started. All changes before that time have been reported.
-	OnSync func(start clock.Instant)
+	// started and the entries that it found. All changes before that time have been
+	// reported, except those held back.
+	OnSync func(start clock.Instant, listed []ring.Entry)
 	// IsFresh reports whether the next periodic sync can be skipped because peers
 	// have sent what it would find. If it is nil, no sync is skipped.
 	IsFresh func() bool
@@ -283,7 +284,7 @@
 		}
 	}
 	if m.config.OnSync != nil {
-		m.config.OnSync(start)
+		m.config.OnSync(start, entries)
 	}
 	return revision, true
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -38,7 +38,7 @@
 		f.mirror = New(Config{
 			Store: f.store, Prefix: "s/", BatchInterval: func() time.Duration { return 100 * time.Millisecond },
 			ResyncInterval: 4 * time.Second, RetryInterval: 200 * time.Millisecond, GracePeriod: 2 * time.Second, MinOutage: time.Second,
-			OnChange: f.recordChange, OnSync: func(clock.Instant) { f.syncs++ },
+			OnChange: f.recordChange, OnSync: func(clock.Instant, []ring.Entry) { f.syncs++ },
 		})
 		ctx, cancel := context.WithCancel(t.Context())
 		var wait sync.WaitGroup
