agent, gateway: a confirmation belongs to one version of the configuration

A process that stands still, or activates a version, between reading the routing table and asking whether its keys may be accepted admitted a request by a key of the old table with the confirmation of the new one; digests combined number and age the same way. Number and moment are one value now, and the question names the number of the table. A table that was replaced meanwhile is read again instead of refusing. Before: the request of the test is served by the revoked key (200) if the table is replaced at the check before its attempt; the check at its arrival was made good by that second one.

--- a/cmd/eelgrass/script_test.go
+++ b/cmd/eelgrass/script_test.go
@@ -67,7 +67,7 @@
 
 func (n fakeAuthority) Routing() *route.Table                                 { return n.table }
 func (fakeAuthority) Quota() *quota.Client                                    { return quota.NewClient(quota.Alone{}) }
-func (fakeAuthority) MayAcceptAPIKeys() bool                                  { return true }
+func (fakeAuthority) MayAcceptAPIKeys(int64) bool                             { return true }
 func (fakeAuthority) IsDraining() bool                                        { return false }
 func (fakeAuthority) NodeCount() int                                          { return 1 }
 func (fakeAuthority) SendDigestSoon()                                         {}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -8,7 +8,8 @@
 //   - Active configuration: the newest routing configuration that the node has
 //     read; requests are routed by it.
 //   - Confirmation: the latest moment at which the active configuration is known to
-//     have been the newest one, as read from the store by this node or a peer.
+//     have been the newest one, as read from the store by this node or a peer. It is one
+//     value with the number of that configuration.
 //   - Digest: the state that a node sends to its peers at intervals. With many nodes,
 //     the nodes form a tree instead: reports with aggregated state are sent up the
 //     tree, and summaries down; see minTreeNodes.
@@ -39,6 +40,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -221,8 +223,8 @@
 
 	// mu guards the fields below.
 	mu sync.Mutex
-	// confirmedAt is the confirmation, as defined in the package comment.
-	confirmedAt clock.Instant
+	// confirmed is the confirmation, as defined in the package comment.
+	confirmed confirmation
 	// storedConfig is the newest value of the routing configuration that this node has read
 	// from the store and can use.
 	storedConfig storedConfig
@@ -293,6 +295,11 @@
 	number   int64
 }
 
+// isIn reports whether a listing of the store holds the value under the given key.
+func (c storedConfig) isIn(listed []ring.Entry, key string) bool {
+	return slices.ContainsFunc(listed, func(e ring.Entry) bool { return e.Key == key && e.Modified == c.revision })
+}
+
 // Routing returns the routes of the active configuration, or nil if there is
 // none.
 func (a *Agent) Routing() *route.Table {
@@ -335,7 +342,8 @@
 // IsReady reports whether the node can serve new connections: it has a recently
 // confirmed configuration and is not draining.
 func (a *Agent) IsReady() bool {
-	return a.Routing() != nil && a.MayAcceptAPIKeys() && !a.draining.Load()
+	table := a.Routing()
+	return table != nil && a.MayAcceptAPIKeys(table.Number()) && !a.draining.Load()
 }
 
 // NodeCount returns the number of live nodes, including this one.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -407,13 +407,13 @@
 		revoked := time.Now()
 		tc.writeConfig(2)
 		time.Sleep(2500 * time.Millisecond)
-		is.True(tc.agents[0].MayAcceptAPIKeys()) // the node must not stop earlier than needed
-		for tc.agents[0].MayAcceptAPIKeys() {
+		is.True(tc.agents[0].acceptsActiveKeys()) // the node must not stop earlier than needed
+		for tc.agents[0].acceptsActiveKeys() {
 			is.True(time.Since(revoked) < 4900*time.Millisecond)
 			time.Sleep(20 * time.Millisecond)
 		}
 		is.True(!tc.agents[0].IsReady())
-		is.True(tc.agents[1].MayAcceptAPIKeys())
+		is.True(tc.agents[1].acceptsActiveKeys())
 	})
 }
 
@@ -424,12 +424,12 @@
 		tc.stores[0].SetFault(platform.FaultDown)
 		for range 100 {
 			time.Sleep(100 * time.Millisecond)
-			is.True(tc.agents[0].MayAcceptAPIKeys())
+			is.True(tc.agents[0].acceptsActiveKeys())
 		}
 		tc.failsFetches = true
 		tc.writeConfig(2) // The node learns of the newer configuration but cannot read it.
 		time.Sleep(5 * time.Second)
-		is.True(!tc.agents[0].MayAcceptAPIKeys())
+		is.True(!tc.agents[0].acceptsActiveKeys())
 	})
 }
 
@@ -449,7 +449,7 @@
 					is.True(time.Since(began) < 2*time.Second) // the same bound as with a store
 				}
 				time.Sleep(6 * time.Second)
-				is.True(tc.agents[node].MayAcceptAPIKeys())
+				is.True(tc.agents[node].acceptsActiveKeys())
 			}
 		})
 	}
--- a/internal/agent/confirmation.go
+++ b/internal/agent/confirmation.go
@@ -24,40 +24,57 @@
 	confirmSlack = 50 * time.Millisecond
 )
 
+// confirmation is the latest moment at which no version of the routing configuration was
+// newer than number. It also holds for any later version: a version above number that took a
+// key away was written after that moment.
+type confirmation struct {
+	number int64
+	at     clock.Instant
+}
+
 // ConfirmedAge returns how long ago the active configuration was last known to be
 // the newest one. The bool is false if that was never known.
 func (a *Agent) ConfirmedAge() (time.Duration, bool) {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.confirmedAt.IsZero() {
+	confirmed := a.confirmed
+	a.mu.Unlock()
+	if confirmed.at.IsZero() {
 		return 0, false
 	}
-	return a.confirmedAt.Age(), true
+	return confirmed.at.Age(), true
 }
 
-// MayAcceptAPIKeys reports whether the active configuration was confirmed recently
-// enough to accept the API keys that it contains: none of them can have been revoked
-// longer ago than Config.Revocation.
-func (a *Agent) MayAcceptAPIKeys() bool {
-	age, ok := a.ConfirmedAge()
-	accepts := ok && age < a.config.Revocation-a.config.Timing.RevocationMargin
+// MayAcceptAPIKeys reports whether the API keys of the configuration with the given number
+// may be accepted: none of them can have been revoked longer ago than Config.Revocation.
+// The number is that of the configuration in which the caller looks a key up. It may have
+// been replaced by now, and a confirmation of its successor says nothing of its keys.
+func (a *Agent) MayAcceptAPIKeys(number int64) bool {
+	a.mu.Lock()
+	confirmed := a.confirmed
+	a.mu.Unlock()
+	if confirmed.at.IsZero() || number < confirmed.number {
+		return false
+	}
+	age := confirmed.at.Age()
+	accepts := age < a.config.Revocation-a.config.Timing.RevocationMargin
 	if a.acceptsKeys.Swap(accepts) != accepts {
 		kind := event.KeysNotAccepted
 		if accepts {
 			kind = event.KeysAccepted
 		}
-		a.log.Write(kind, slog.Int64("number", a.configNumber()), slog.Int64("age_ms", age.Milliseconds()))
+		a.log.Write(kind, slog.Int64("number", number), slog.Int64("age_ms", age.Milliseconds()))
 	}
 	return accepts
 }
 
-// recordConfirmation records that a read of the configuration, by this node or a peer,
-// found no newer one than the active one. The start of the read becomes the
-// confirmation if it is later than the current confirmation. A read that began within
-// RestoreGrace after a restore of the store confirms nothing: what the operator wrote
-// last may be missing. from names the source for the log: fromStore or a peer's address.
-func (a *Agent) recordConfirmation(readStart clock.Instant, from string) {
-	if a.Routing() == nil {
+// recordConfirmation records that a read of the store, by this node or a peer, found the
+// configuration with a number to be the newest one; readStart is when the read began. It
+// counts if this configuration is still the active one and readStart is later than the
+// confirmation so far. A read that began within RestoreGrace after a restore of the store
+// confirms nothing: what the operator wrote last may be missing. from names the source for
+// the log: fromStore or a peer's address.
+func (a *Agent) recordConfirmation(number int64, readStart clock.Instant, from string) {
+	if number == 0 || number != a.configNumber() {
 		return
 	}
 	restoredAt := a.config.Store.Era().ChangedAt
@@ -65,19 +82,21 @@
 		return
 	}
 	a.mu.Lock()
-	before := a.confirmedAt
-	a.confirmedAt = laterInstant(before, readStart)
-	hasChanged := a.confirmedAt != before
+	before := a.confirmed.at
+	isLater := before.IsZero() || readStart.Age() < before.Age()
+	if isLater {
+		a.confirmed = confirmation{number: number, at: readStart}
+	}
 	a.mu.Unlock()
-	if hasChanged && (before.IsZero() || before.Age() > confirmationGap) {
-		a.logConfirmation(readStart.Age(), before, from)
+	if isLater && (before.IsZero() || before.Age() > confirmationGap) {
+		a.logConfirmation(number, readStart.Age(), before, from)
 	}
 }
 
 // logConfirmation logs a confirmation of the given age that ends a gap: the one before was
 // old, or there was none.
-func (a *Agent) logConfirmation(age time.Duration, before clock.Instant, from string) {
-	attributes := []slog.Attr{slog.Int64("number", a.configNumber()), slog.String("from", from), slog.Int64("age_ms", age.Milliseconds())}
+func (a *Agent) logConfirmation(number int64, age time.Duration, before clock.Instant, from string) {
+	attributes := []slog.Attr{slog.Int64("number", number), slog.String("from", from), slog.Int64("age_ms", age.Milliseconds())}
 	if !before.IsZero() {
 		attributes = append(attributes, slog.Int64("before_ms", before.Age().Milliseconds()))
 	}
@@ -113,6 +132,6 @@
 		}
 		a.fetchConfigLater(from, number)
 	case own > 0 && number == own && ageMillis >= 0:
-		a.recordConfirmation(clock.NewInstant().Earlier(time.Duration(ageMillis)*time.Millisecond+confirmSlack), from)
+		a.recordConfirmation(number, clock.NewInstant().Earlier(time.Duration(ageMillis)*time.Millisecond+confirmSlack), from)
 	}
 }
--- a/internal/agent/confirmation_test.go
+++ b/internal/agent/confirmation_test.go
@@ -11,25 +11,28 @@
 	"eelgrassring.dev/internal/standin/platform"
 )
 
+// acceptsActiveKeys reports whether the node accepts the keys of its active configuration.
+func (a *Agent) acceptsActiveKeys() bool { return a.MayAcceptAPIKeys(a.configNumber()) }
+
 // TestGapsOfConfirmationAreLogged checks that the log tells when a node stops and begins
 // again to accept keys, once each, and what confirmed the configuration in between.
 func TestGapsOfConfirmationAreLogged(t *testing.T) {
 	runCluster(t, 2, func(is *is.I, tc *testCluster) {
 		tc.writeConfig(1)
 		time.Sleep(3 * time.Second)
-		is.True(tc.agents[0].MayAcceptAPIKeys())
+		is.True(tc.agents[0].acceptsActiveKeys())
 		is.Equal(tc.decisions.count(event.ConfigurationConfirmed.Name), 2) // the first of each node
 		is.Equal(tc.decisions.count(event.KeysAccepted.Name), 1)
 		tc.stores[0].SetFault(platform.FaultSilent)
 		tc.network.isolate("a")
 		time.Sleep(5 * time.Second)
 		for range 3 {
-			is.True(!tc.agents[0].MayAcceptAPIKeys())
+			is.True(!tc.agents[0].acceptsActiveKeys())
 		}
 		is.Equal(tc.decisions.count(event.KeysNotAccepted.Name), 1)
 		tc.network.rejoin("a")
 		time.Sleep(time.Second)
-		is.True(tc.agents[0].MayAcceptAPIKeys())
+		is.True(tc.agents[0].acceptsActiveKeys())
 		is.Equal(tc.decisions.count(event.ConfigurationConfirmed.Name), 3)
 		is.Equal(tc.decisions.count(event.KeysAccepted.Name), 2)
 	})
@@ -87,7 +90,7 @@
 	late, latest := map[string]bool{}, time.Duration(0)
 	for revokedAt := time.Now(); time.Since(revokedAt) < 3*bound; time.Sleep(50 * time.Millisecond) {
 		for _, a := range tc.agents {
-			if since := time.Since(revokedAt); since > bound && activeNumber(a) == 1 && a.MayAcceptAPIKeys() {
+			if since := time.Since(revokedAt); since > bound && activeNumber(a) == 1 && a.acceptsActiveKeys() {
 				late[a.config.Name], latest = true, since
 			}
 		}
@@ -135,7 +138,7 @@
 				write(tc)
 				time.Sleep(5 * time.Second)
 				for _, a := range tc.agents {
-					if a.MayAcceptAPIKeys() {
+					if a.acceptsActiveKeys() {
 						t.Errorf("%s value, %d nodes: node %s accepts keys 5 s later", name, nodes, a.config.Name)
 						break
 					}
@@ -144,7 +147,7 @@
 				time.Sleep(3 * time.Second)
 				for _, a := range tc.agents {
 					is.Equal(activeNumber(a), int64(3))
-					is.True(a.MayAcceptAPIKeys())
+					is.True(a.acceptsActiveKeys())
 				}
 			})
 		}
--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -130,30 +129,22 @@
 }
 
 // recordRoutingRead records a read of the routing configuration from the store. It confirms
-// the active configuration if the store holds it. While the registry is watched, the read
+// the active configuration if the store holds it; the value may be missing, not readable, or
+// older after a restore. While the registry is watched, the read
 // also shows that the store is reachable, so that the watch has reported the changes of the
 // registry up to then.
 func (a *Agent) recordRoutingRead(readStart clock.Instant, listed []ring.Entry) {
-	if a.isActiveConfigIn(listed) {
-		a.recordConfirmation(readStart, fromStore)
+	a.mu.Lock()
+	stored := a.storedConfig
+	a.mu.Unlock()
+	if stored.isIn(listed, a.config.Directory.RoutingKey()) {
+		a.recordConfirmation(stored.number, readStart, fromStore)
 	}
 	if a.serversMirror.IsWatching() {
 		a.recordRegistryRead(readStart)
 	}
 }
 
-// isActiveConfigIn reports whether a listing of the store holds the active configuration. It
-// does not if the value is missing, cannot be parsed, or is an older configuration, which a
-// restored store may show.
-func (a *Agent) isActiveConfigIn(listed []ring.Entry) bool {
-	a.mu.Lock()
-	stored := a.storedConfig
-	a.mu.Unlock()
-	return stored.number == a.configNumber() && slices.ContainsFunc(listed, func(e ring.Entry) bool {
-		return e.Key == a.config.Directory.RoutingKey() && e.Modified == stored.revision
-	})
-}
-
 // recordRegistryRead records that this node has read the changes of the registry up to
 // a moment.
 func (a *Agent) recordRegistryRead(readStart clock.Instant) {
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -239,8 +239,11 @@
 		d.StalledMillis[uint64(e)] = duration.Milliseconds()
 	}
 	d.ConfirmedAgeMillis = -1
-	if age, ok := a.ConfirmedAge(); ok {
-		d.ConfirmedAgeMillis = age.Milliseconds()
+	a.mu.Lock()
+	confirmed := a.confirmed
+	a.mu.Unlock()
+	if !confirmed.at.IsZero() && confirmed.number <= d.ConfigNumber {
+		d.ConfirmedAgeMillis = confirmed.at.Age().Milliseconds()
 	}
 	return d
 }
--- a/internal/agent/restore_test.go
+++ b/internal/agent/restore_test.go
@@ -52,7 +52,7 @@
 		time.Sleep(2 * time.Second)
 		for _, a := range tc.agents {
 			is.Equal(activeNumber(a), int64(2))
-			is.True(a.MayAcceptAPIKeys())
+			is.True(a.acceptsActiveKeys())
 		}
 	})
 }
@@ -159,7 +159,7 @@
 			}
 			highest[i] = active
 			revokedAt, isRevoked := acknowledgedAt[active+1]
-			if isRevoked && a.MayAcceptAPIKeys() && now.Sub(revokedAt) > revocation {
+			if isRevoked && a.acceptsActiveKeys() && now.Sub(revokedAt) > revocation {
 				t.Fatalf("seed %d: node %d accepts the key of version %d %s after its revocation", seed, i, active, now.Sub(revokedAt))
 			}
 		}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -45,10 +45,10 @@
 type FrontNode interface {
 	// Routing returns the current routing table, or nil if there is none yet.
 	Routing() *route.Table
-	// MayAcceptAPIKeys reports whether the node may accept API keys by its
-	// configuration. It may if the configuration is so recent that each of its keys is
-	// still valid or was revoked less than the revocation bound ago.
-	MayAcceptAPIKeys() bool
+	// MayAcceptAPIKeys reports whether the node may accept the API keys of the
+	// configuration with a number. It may if each of these keys is still valid or was
+	// revoked less than the revocation bound ago.
+	MayAcceptAPIKeys(number int64) bool
 	// IsDraining reports whether the node is shutting down, so that callers should open
 	// new connections to other nodes.
 	IsDraining() bool
@@ -280,7 +280,12 @@
 // returns a failure if one of them is missing. It is also called before each attempt,
 // because a route or a key may have been removed since the request arrived.
 func (f *Front) admit(req *frontRequest, table *route.Table) *ring.Failure {
-	isConfirmed := f.config.Node.MayAcceptAPIKeys()
+	isConfirmed := f.config.Node.MayAcceptAPIKeys(table.Number())
+	if !isConfirmed {
+		if current := f.config.Node.Routing(); current != table {
+			return f.admit(req, current) // The table has been replaced in the meantime.
+		}
+	}
 	unconfirmed := ring.FailRetryAt(ring.CodeUnconfirmed, time.Now().Add(unconfiguredRetryAfter), "this node cannot confirm that its configuration is current")
 	path, _, _ := strings.Cut(req.target, "?")
 	found, ok := table.Find(req.host, path)
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -89,7 +89,11 @@
 	mu        sync.Mutex
 	table     *route.Table
 	confirmed bool
-	draining  bool
+	// next replaces the table, and is confirmed, right after the table was read readsBefore
+	// more times.
+	next        *route.Table
+	readsBefore int
+	draining    bool
 	// announced are the servers of the calls of AnnounceLeaving.
 	announced []ring.VM
 	// strikes are those of the calls of AnnounceStrike. They are added to peers.
@@ -111,7 +115,12 @@
 func (n *testNode) Routing() *route.Table {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.table
+	table := n.table
+	n.readsBefore--
+	if n.next != nil && n.readsBefore <= 0 {
+		n.table, n.next = n.next, nil
+	}
+	return table
 }
 
 // set replaces the routing table and the result of MayAcceptAPIKeys.
@@ -121,10 +130,10 @@
 	n.table, n.confirmed = table, confirmed
 }
 
-func (n *testNode) MayAcceptAPIKeys() bool {
+func (n *testNode) MayAcceptAPIKeys(number int64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.confirmed
+	return n.confirmed && n.table != nil && number >= n.table.Number()
 }
 
 // setDraining sets the result of IsDraining.
@@ -574,6 +583,24 @@
 	})
 }
 
+// TestKeyIsNotAcceptedByTheConfirmationOfTheNextVersion guards against a process that stands
+// still between reading the routing table and asking whether its keys may be accepted: the
+// confirmation of the version that took a key away would admit it. The table is read when the
+// request arrives and before its attempt.
+func TestKeyIsNotAcceptedByTheConfirmationOfTheNextVersion(t *testing.T) {
+	for _, reads := range []int{1, 2} {
+		withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+			h.handle = func(_ string, _ int, _ receivedRequest, c net.Conn) { respond(c, 200, "id1", "ok") }
+			next := testRoutes("new")
+			next.Number = 2
+			h.node.next, h.node.readsBefore = route.NewTable(next), reads
+			w, _ := h.call("GET", "/read/1", "")
+			is.Equal(w.Code, 401)
+			is.Equal(len(h.requests()), 0)
+		})
+	}
+}
+
 func TestCallerDisconnectCancelsAttempt(t *testing.T) {
 	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
 		h.handle = func(_ string, _ int, _ receivedRequest, c net.Conn) { time.Sleep(time.Minute) }
--- a/internal/gateway/frontexplain.go
+++ b/internal/gateway/frontexplain.go
@@ -20,7 +20,7 @@
 	if !ok {
 		return refusedExplanation(ring.CodeNotFound, "no route for this host and path")
 	}
-	if !found.Public && table.RequiresKey() && !f.config.Node.MayAcceptAPIKeys() {
+	if !found.Public && table.RequiresKey() && !f.config.Node.MayAcceptAPIKeys(table.Number()) {
 		return refusedExplanation(ring.CodeUnconfirmed, "this node cannot confirm that its configuration is current, so it accepts no API key")
 	}
 	out := Explanation{Outcome: "served", Reason: fmt.Sprintf("route %s of configuration %d", found.Name, table.Number())}
