agent, digest, echo: a confirmation from a peer counts from a stamp of the receiver

Cause: the age of a confirmation counted from when its message was handled. A summary that waited in the socket of a node which stood still for 4 s confirmed a version that was four seconds out of date, and was forwarded with its age unchanged. Evidence: with events 211, 56 nodes get such a confirmation between 9.00 and 9.03 s, all of them with the age 85 ms, which is one summary from before the standstill; the peers that named it had stood still or had it from those that had.

Each node now puts a stamp of its own clock into its messages, and a peer returns the last one with the lag of its confirmation: the time from it to the handling of the stamp, by the peer's clock (package echo). A stamp is made before it is handled, so a late message dates the confirmation too early, never too late, at any delay. Each node sends its own confirmation; nothing is passed on by copy.

Digests still carry the old field as 'none', which a node of an earlier version would otherwise take for a confirmation just now; reports and summaries of both versions are not read by the other.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -9,7 +9,8 @@
 //     read; requests are routed by it.
 //   - Confirmation: the latest moment at which the active configuration is known to
 //     have been the newest one, as read from the store by this node or a peer. It is one
-//     value with the number of that configuration.
+//     value with the number of that configuration. What a peer knows counts from a stamp
+//     of this node that the peer returned; see package echo.
 //   - Digest: the state that a node sends to its peers at intervals. With many nodes,
 //     the nodes form a tree instead: reports with aggregated state are sent up the
 //     tree, and summaries down; see minTreeNodes.
@@ -40,6 +41,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"sync"
@@ -53,6 +55,7 @@
 	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/composition"
 	"eelgrassring.dev/internal/digest"
+	"eelgrassring.dev/internal/echo"
 	"eelgrassring.dev/internal/election"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/fleet"
@@ -220,11 +223,15 @@
 	// term as the controller.
 	hasFullRegistry atomic.Bool
 	startedAt       clock.Instant
+	// echoClock makes and reads this node's stamps.
+	echoClock echo.Clock
 
 	// mu guards the fields below.
 	mu sync.Mutex
 	// confirmed is the confirmation, as defined in the package comment.
 	confirmed confirmation
+	// echoes holds the stamps of the peers.
+	echoes echo.Peers
 	// storedConfig is the newest value of the routing configuration that this node has read
 	// from the store and can use.
 	storedConfig storedConfig
@@ -276,7 +283,7 @@
 		config: c, fleet: c.Fleet, log: c.Log, transport: c.Transport, startedAt: clock.NewInstant(), digestRequested: make(chan struct{}, 1),
 		extraChildLimiter: rate.NewLimiter(extraChildBytesPerSecond, extraChildBurst), urgentLimiter: rate.NewLimiter(urgentBytesPerSecond, urgentBurst), stateListLimiter: rate.NewLimiter(rate.Every(stateListInterval), 1), noticeLimiter: rate.NewLimiter(noticeBytesPerSecond, noticeBurst),
 		configReadLimiter: rate.NewLimiter(rate.Every(configReadInterval), 1), retryPool: &retry.Pool{}, strikes: newStrikeQueue(), peers: map[string]*peer{}, probes: map[uint64]chan digest.ProbeReply{}, probeAnswers: make(chan struct{}, maxProbeAnswers),
-		permits: newPermits(),
+		permits: newPermits(), echoClock: echo.NewClock(rand.Uint64()),
 	}
 	a.quota = quota.NewClient(a)
 	return a
--- a/internal/agent/confirmation.go
+++ b/internal/agent/confirmation.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"eelgrassring.dev/internal/clock"
+	"eelgrassring.dev/internal/digest"
+	"eelgrassring.dev/internal/echo"
 	"eelgrassring.dev/internal/event"
 )
 
@@ -19,8 +21,11 @@
 	// which a node below the root reads it from the store itself. The root reads it
 	// every 0.4 s and sends a summary every 0.3 s, of which one or two may be lost.
 	treeConfirmAge = 1500 * time.Millisecond
-	// confirmSlack is added to the age of a confirmation in a message, for the time
-	// that the datagram took.
+	// maxLagMillis bounds the lags that are taken from messages: no confirmation is of use
+	// after so long.
+	maxLagMillis = int64(time.Hour / time.Millisecond)
+	// confirmSlack is added to the age of the registry in a summary, for the time that the
+	// datagram took.
 	confirmSlack = 50 * time.Millisecond
 )
 
@@ -121,17 +126,66 @@
 
 // applyConfigNumber compares a peer's configuration number with this node's. If the
 // peer's is larger, the configuration is read from the store or fetched from the peer
-// in the background. If they are equal and ageMillis is not negative, this node's
-// configuration is confirmed as of ageMillis ago.
-func (a *Agent) applyConfigNumber(from string, number, ageMillis int64) {
-	own := a.configNumber()
-	switch {
-	case number > own:
-		if !a.usesTree() || a.configReadLimiter.Allow() {
-			a.routingMirror.RequestSync()
-		}
-		a.fetchConfigLater(from, number)
-	case own > 0 && number == own && ageMillis >= 0:
-		a.recordConfirmation(number, clock.NewInstant().Earlier(time.Duration(ageMillis)*time.Millisecond+confirmSlack), from)
+// in the background.
+func (a *Agent) applyConfigNumber(from string, number int64) {
+	if number <= a.configNumber() {
+		return
+	}
+	if !a.usesTree() || a.configReadLimiter.Allow() {
+		a.routingMirror.RequestSync()
+	}
+	a.fetchConfigLater(from, number)
+}
+
+// exchangeFor returns the exchange for a message to a peer that is sent now.
+func (a *Agent) exchangeFor(address string) *digest.Exchange {
+	now := a.moment()
+	out := &digest.Exchange{}
+	a.mu.Lock()
+	if a.echoes.IsStampDue(address, now) {
+		out.Stamp = uint64(a.echoClock.Stamp(now))
+	}
+	arrival, ok := a.echoes.Last(address, now)
+	confirmed := a.confirmed
+	a.mu.Unlock()
+	if !ok {
+		return out
 	}
+	out.Echo = uint64(arrival.Stamp)
+	if !confirmed.at.IsZero() {
+		lag := echo.Lag(a.momentOf(confirmed.at), arrival.At).Milliseconds()
+		out.ConfirmedNumber, out.ConfirmedLagMillis = confirmed.number, &lag
+	}
+	return out
 }
+
+// applyExchange records the stamp of a peer and what the peer's confirmation proves of this
+// node's configuration.
+func (a *Agent) applyExchange(from string, x *digest.Exchange) {
+	now := a.moment()
+	if x.Stamp != 0 {
+		a.mu.Lock()
+		a.echoes.Record(from, echo.Arrival{Stamp: echo.Stamp(x.Stamp), At: now})
+		a.mu.Unlock()
+	}
+	if x.ConfirmedLagMillis == nil || *x.ConfirmedLagMillis > maxLagMillis || *x.ConfirmedLagMillis < -maxLagMillis {
+		return
+	}
+	lag := time.Duration(*x.ConfirmedLagMillis) * time.Millisecond
+	if moment, ok := a.echoClock.Moment(echo.Stamp(x.Echo), lag, now); ok {
+		a.recordConfirmation(x.ConfirmedNumber, a.instantOf(moment), from)
+	}
+}
+
+// moment returns the time since the start of this node, standstills included.
+func (a *Agent) moment() time.Duration { return a.startedAt.Age() }
+
+// momentOf returns the time from the start of this node to an instant. If the process stands
+// still meanwhile, the result is too early.
+func (a *Agent) momentOf(i clock.Instant) time.Duration {
+	now := a.moment()
+	return now - i.Age()
+}
+
+// instantOf returns the instant at a moment.
+func (a *Agent) instantOf(moment time.Duration) clock.Instant { return a.startedAt.Earlier(-moment) }
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -167,8 +167,8 @@
 // registryChecksums returns a checksum for each bucket of the registry (see bucketOf)
 // over the entries that all nodes need. Revisions are left out because heartbeats
 // change them.
-func (a *Agent) registryChecksums() [digest.BucketCount]uint16 {
-	var out [digest.BucketCount]uint16
+func (a *Agent) registryChecksums() digest.BucketChecksums {
+	var out digest.BucketChecksums
 	a.fleet.Each(func(s ring.Server, _ ring.Revision) {
 		if isNeededByAllNodes(s) {
 			text := fmt.Sprint(s.ID, "|", s.Incarnation, "|", s.Leaving, "|", s.Membership.Group, "|", s.Membership.Epoch, "|", s.Membership.Rank, "|", s.Membership.State)
@@ -206,7 +206,7 @@
 
 // bucketsToRequest returns the buckets to request now, given this node's own checksums:
 // those that have differed from the root's for at least grace.
-func (t *tree) bucketsToRequest(own [digest.BucketCount]uint16, now time.Time, grace time.Duration) []int {
+func (t *tree) bucketsToRequest(own digest.BucketChecksums, now time.Time, grace time.Duration) []int {
 	var out []int
 	for i, sum := range t.rootChecksums {
 		if own[i] == sum {
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -185,8 +185,12 @@
 }
 
 // send sends a message to a node's address. It returns the size of the datagram, or
-// 0 if sending failed, which is logged.
+// 0 if sending failed, which is logged. It completes a digest, report or summary with the
+// exchange for the receiver.
 func (a *Agent) send(address string, m digest.Message) int {
+	if m.Digest != nil || m.Report != nil || m.Summary != nil {
+		m.Exchange = a.exchangeFor(address)
+	}
 	n, err := a.transport.Send(address, m)
 	if err != nil {
 		a.log.Write(event.DigestNotSent, slog.String("address", address), slog.Any("error", err))
@@ -225,12 +229,12 @@
 }
 
 // buildDigest returns this node's own state as sent to peers: its requests at each
-// replica, its stalled replicas and its configuration's number and age.
+// replica, its stalled replicas and its configuration's number.
 func (a *Agent) buildDigest(now time.Time) *digest.Digest {
 	loads, stalled := a.fleet.LocalState(now)
 	d := &digest.Digest{
 		Name: a.config.Name, Incarnation: a.config.Incarnation, Draining: a.draining.Load(),
-		Era: int64(a.config.Store.Era().Number), ConfigNumber: a.configNumber(), Loads: map[uint64]int{}, StalledMillis: map[uint64]int64{}, Abandoned: a.abandonedForMessage(),
+		Era: int64(a.config.Store.Era().Number), ConfigNumber: a.configNumber(), OldConfirmedAge: digest.NoConfirmedAge, Loads: map[uint64]int{}, StalledMillis: map[uint64]int64{}, Abandoned: a.abandonedForMessage(),
 	}
 	for e, n := range loads {
 		d.Loads[uint64(e)] = n
@@ -238,13 +242,6 @@
 	for e, duration := range stalled {
 		d.StalledMillis[uint64(e)] = duration.Milliseconds()
 	}
-	d.ConfirmedAgeMillis = -1
-	a.mu.Lock()
-	confirmed := a.confirmed
-	a.mu.Unlock()
-	if !confirmed.at.IsZero() && confirmed.number <= d.ConfigNumber {
-		d.ConfirmedAgeMillis = confirmed.at.Age().Milliseconds()
-	}
 	return d
 }
 
@@ -261,6 +258,9 @@
 
 // dispatchMessage applies or answers a message from a peer according to its type.
 func (a *Agent) dispatchMessage(from string, m digest.Message) {
+	if m.Exchange != nil {
+		a.applyExchange(from, m.Exchange)
+	}
 	switch {
 	case m.Digest != nil:
 		a.applyDigest(from, m.Digest)
@@ -323,7 +323,7 @@
 	}
 	a.fleet.UpdatePeer(d.Name, loads, stalled, now.Add(peerTimeout))
 	a.applyAbandoned(d.Abandoned, now)
-	a.applyConfigNumber(from, d.ConfigNumber, d.ConfirmedAgeMillis)
+	a.applyConfigNumber(from, d.ConfigNumber)
 }
 
 // recordPeer stores the address of a digest's sender and the time of the digest. It
--- a/internal/agent/summary.go
+++ b/internal/agent/summary.go
@@ -47,7 +47,7 @@
 		s := statusOf(e)
 		s.StalledMillis = max(s.StalledMillis, ms)
 	}
-	out := digest.Report{Name: a.config.Name, Nodes: 1, ConfigNumber: own.ConfigNumber, ConfirmedAgeMillis: own.ConfirmedAgeMillis, Era: own.Era}
+	out := digest.Report{Name: a.config.Name, Nodes: 1, ConfigNumber: own.ConfigNumber, Era: own.Era}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.ownRetryUsage != nil {
@@ -73,11 +73,7 @@
 			total.Active = total.Active || s.Active
 			total.StalledMillis = max(total.StalledMillis, s.StalledMillis)
 		}
-		confirmedAge := c.report.ConfirmedAgeMillis
-		if confirmedAge >= 0 {
-			confirmedAge += now.Sub(c.heardAt).Milliseconds()
-		}
-		out.ConfigNumber, out.ConfirmedAgeMillis = newerConfig(out.ConfigNumber, out.ConfirmedAgeMillis, c.report.ConfigNumber, confirmedAge)
+		out.ConfigNumber = max(out.ConfigNumber, c.report.ConfigNumber)
 	}
 	for _, s := range statuses {
 		out.Replicas = append(out.Replicas, *s)
@@ -86,19 +82,6 @@
 	return out
 }
 
-// newerConfig returns the larger of two configuration numbers with the age of its
-// confirmation. If the numbers are equal, it returns the smaller of the two ages. A
-// negative age means that there was no confirmation.
-func newerConfig(number, age, otherNumber, otherAge int64) (int64, int64) {
-	switch {
-	case otherNumber > number:
-		return otherNumber, otherAge
-	case otherNumber == number && otherAge >= 0 && (age < 0 || otherAge < age):
-		return number, otherAge
-	}
-	return number, age
-}
-
 // applyReport stores the report of a child in the tree of nodes. If the report shows a
 // newly stalled replica, it requests that this node's own report is sent before the
 // regular interval has passed.
@@ -164,7 +147,7 @@
 		a.checkNodesChecksum(s.NodesChecksum)
 	}
 	a.applyAbandoned(s.Abandoned, now)
-	a.applyConfigNumber(from, s.ConfigNumber, s.ConfirmedAgeMillis)
+	a.applyConfigNumber(from, s.ConfigNumber)
 	if s.RegistryAgeMillis >= 0 {
 		a.checkRegistryChecksums(from, s)
 	}
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -99,7 +99,7 @@
 	// rootChecksums are the root's registry checksums by bucket. requestAt is when this
 	// node requests a bucket if the checksum still differs from its own; it is zero
 	// while they agree.
-	rootChecksums [digest.BucketCount]uint16
+	rootChecksums digest.BucketChecksums
 	requestAt     [digest.BucketCount]time.Time
 	// checkedTerm is the term of the last summary with checksums.
 	checkedTerm int64
@@ -292,7 +292,7 @@
 	}
 	sent := a.forwardEntries(entries) // Before the summary, whose checksums include them.
 	summary := digest.Summary{
-		Root: a.config.Name, Term: term, Sequence: sequence, Nodes: report.Nodes, ConfigNumber: report.ConfigNumber, ConfirmedAgeMillis: report.ConfirmedAgeMillis,
+		Root: a.config.Name, Term: term, Sequence: sequence, Nodes: report.Nodes, ConfigNumber: report.ConfigNumber,
 		Checksums: a.registryChecksums(), RegistryAgeMillis: a.registryAgeForMessage(), IsPartial: isPartial, Abandoned: a.abandonedForMessage(), Era: report.Era,
 	}
 	if isPartial {
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -35,10 +35,10 @@
 	Name        string `cbor:"1,keyasint"`
 	Incarnation string `cbor:"2,keyasint"`
 	// ConfigNumber is the number of the node's active routing configuration, or 0.
-	// ConfirmedAgeMillis is the time since it was last known to be the newest
-	// configuration; -1 means never.
-	ConfigNumber       int64 `cbor:"3,keyasint"`
-	ConfirmedAgeMillis int64 `cbor:"4,keyasint"`
+	ConfigNumber int64 `cbor:"3,keyasint"`
+	// OldConfirmedAge is always NoConfirmedAge. Nodes of earlier versions read it, and take
+	// its absence for a confirmation just now.
+	OldConfirmedAge int64 `cbor:"4,keyasint"`
 	// Loads counts the node's running requests at each replica. StalledMillis holds the
 	// replicas whose streams to this node have stalled, and for how long; 0 means that
 	// the node has requests there but no event yet.
@@ -53,6 +53,9 @@
 	Era int64 `cbor:"9,keyasint,omitempty"`
 }
 
+// NoConfirmedAge is the value of Digest.OldConfirmedAge.
+const NoConfirmedAge = -1
+
 // ProbeRequest asks a peer to inspect the backend server at an address, which the
 // sender may be unable to reach. ID is repeated in the ProbeReply.
 type ProbeRequest struct {
@@ -78,15 +81,14 @@
 
 // Report carries the aggregated state of a node and all its descendants to the node's
 // parent in the tree of nodes (see the package comment). Nodes counts these nodes; 0
-// means that the sender now reports to another parent. ConfigNumber and
-// ConfirmedAgeMillis are as in Digest.
+// means that the sender now reports to another parent. ConfigNumber is the largest number
+// of an active routing configuration among them.
 type Report struct {
-	_                  struct{} `cbor:",toarray"`
-	Name               string
-	Nodes              int
-	ConfigNumber       int64
-	ConfirmedAgeMillis int64
-	Replicas           ReplicaStatuses
+	_            struct{} `cbor:",toarray"`
+	Name         string
+	Nodes        int
+	ConfigNumber int64
+	Replicas     ReplicaStatuses
 	// Requests and Retries are the retry usage of all these nodes; see retry.Usage.
 	Requests int
 	Retries  int
@@ -96,21 +98,21 @@
 
 // Summary carries the aggregated state of all nodes from the root of the tree of nodes,
 // the controller, down to every node. Term is the number of the root's term as the
-// controller; Sequence increases with each summary of the term.
+// controller; Sequence increases with each summary of the term. ConfigNumber is as in
+// Report, for all nodes.
 type Summary struct {
-	_                  struct{} `cbor:",toarray"`
-	Root               string
-	Term               int64
-	Sequence           uint64
-	Nodes              int
-	ConfigNumber       int64
-	ConfirmedAgeMillis int64
-	Replicas           ReplicaStatuses
+	_            struct{} `cbor:",toarray"`
+	Root         string
+	Term         int64
+	Sequence     uint64
+	Nodes        int
+	ConfigNumber int64
+	Replicas     ReplicaStatuses
 	// Checksums holds a checksum for each bucket of server IDs, over the registry
 	// entries that every node needs, as the root knows them. RegistryAgeMillis is the
 	// time since the root was last known to know the whole registry; -1 means that it
 	// has not listed the registry in its term, so that Checksums is not valid.
-	Checksums         [BucketCount]uint16
+	Checksums         BucketChecksums
 	RegistryAgeMillis int64
 	// NodesChecksum covers the names of all nodes.
 	NodesChecksum uint16
@@ -230,7 +232,22 @@
 	AgeMillis  int64
 }
 
-// Message is the content of one datagram; exactly one field is set.
+// Exchange tells the receiver when its routing configuration is known to have been the
+// newest one, as a moment of the receiver's own clock; see package echo. Stamp is the
+// sender's, or 0 if none is due. Echo is a stamp of the receiver, or 0 if the sender has none. ConfirmedNumber and
+// ConfirmedLagMillis are the sender's confirmation: the number of its configuration, and the
+// lag of the moment at which this was last known to be the newest one. The lag is missing
+// without a confirmation or an echo.
+type Exchange struct {
+	_                  struct{} `cbor:",toarray"`
+	Stamp              uint64
+	Echo               uint64
+	ConfirmedNumber    int64
+	ConfirmedLagMillis *int64
+}
+
+// Message is the content of one datagram. Exactly one field is set, besides Exchange, which
+// every Digest, Report and Summary comes with.
 type Message struct {
 	Digest         *Digest         `cbor:"1,keyasint,omitempty"`
 	ProbeRequest   *ProbeRequest   `cbor:"2,keyasint,omitempty"`
@@ -250,6 +267,7 @@
 	Limits        []Limit        `cbor:"13,keyasint,omitempty"`
 	PermitRequest *PermitRequest `cbor:"14,keyasint,omitempty"`
 	PermitReply   *PermitReply   `cbor:"15,keyasint,omitempty"`
+	Exchange      *Exchange      `cbor:"16,keyasint,omitempty"`
 }
 
 // Transport sends and receives messages between nodes over a UDP socket.
--- a/internal/digest/status.go
+++ b/internal/digest/status.go
@@ -67,3 +67,30 @@
 	}
 	return nil
 }
+
+// BucketChecksums holds a checksum for each bucket of the registry's entries; see BucketCount.
+// Every summary has them, so they are encoded in two bytes each.
+type BucketChecksums [BucketCount]uint16
+
+// errChecksumsSize means that encoded checksums are not of as many buckets.
+var errChecksumsSize = errors.New("bucket checksums have another size")
+
+// MarshalBinary implements encoding.BinaryMarshaler.
+func (c BucketChecksums) MarshalBinary() ([]byte, error) {
+	out := make([]byte, 0, 2*BucketCount)
+	for _, sum := range c {
+		out = binary.BigEndian.AppendUint16(out, sum)
+	}
+	return out, nil
+}
+
+// UnmarshalBinary implements encoding.BinaryUnmarshaler.
+func (c *BucketChecksums) UnmarshalBinary(encoded []byte) error {
+	if len(encoded) != 2*BucketCount {
+		return errChecksumsSize
+	}
+	for i := range c {
+		c[i] = binary.BigEndian.Uint16(encoded[2*i:])
+	}
+	return nil
+}
--- a/internal/digest/status_test.go
+++ b/internal/digest/status_test.go
@@ -38,6 +38,18 @@
 	is.Equal(got[0].StalledMillis, int64(500))
 }
 
+func TestBucketChecksumsRoundTrip(t *testing.T) {
+	is := is.New(t)
+	want := Summary{Root: "n", Checksums: BucketChecksums{1, 0, 65535, 7, 8, 9, 10, 256}}
+	encoded, err := cbor.Marshal(Message{Summary: &want})
+	is.NoErr(err)
+	var got Message
+	is.NoErr(cbor.Unmarshal(encoded, &got))
+	is.Equal(got.Summary.Checksums, want.Checksums)
+	var sums BucketChecksums
+	is.True(sums.UnmarshalBinary(make([]byte, 15)) != nil)
+}
+
 // FuzzReplicaStatuses decodes arbitrary bytes and checks that the resulting statuses
 // can be encoded and decoded again without a loss.
 func FuzzReplicaStatuses(f *testing.F) {
