agent, digest: the registry counts as known from a stamp of the receiver

A node whose summaries are 3 s late took the registry for known, did not watch it, and sent requests to a server that was gone for longer than 2.5 s (test before: fails; now it is unused in time). The lag of the registry's last read travels with each summary, by hops, in the exchange. The root takes the moment of its read before the checksums, which cover all changes up to then; it was the other way round.

--- a/internal/agent/confirmation.go
+++ b/internal/agent/confirmation.go
@@ -21,12 +21,9 @@
 	// which a node below the root reads it from the store itself. The root reads it
 	// every 0.4 s and sends a summary every 0.3 s, of which one or two may be lost.
 	treeConfirmAge = 1500 * time.Millisecond
-	// maxLagMillis bounds the lags that are taken from messages: no confirmation is of use
-	// after so long.
+	// maxLagMillis bounds the lags that are taken from messages: nothing that a peer knew so
+	// long ago is of use.
 	maxLagMillis = int64(time.Hour / time.Millisecond)
-	// confirmSlack is added to the age of the registry in a summary, for the time that the
-	// datagram took.
-	confirmSlack = 50 * time.Millisecond
 )
 
 // confirmation is the latest moment at which no version of the routing configuration was
@@ -137,8 +134,10 @@
 	a.fetchConfigLater(from, number)
 }
 
-// exchangeFor returns the exchange for a message to a peer that is sent now.
-func (a *Agent) exchangeFor(address string) *digest.Exchange {
+// exchangeFor returns the exchange for a message to a peer that is sent now. registryAt is the
+// moment up to which the checksums of a summary cover the registry; in other messages it is
+// zero.
+func (a *Agent) exchangeFor(address string, registryAt clock.Instant) *digest.Exchange {
 	now := a.moment()
 	out := &digest.Exchange{}
 	a.mu.Lock()
@@ -152,29 +151,47 @@
 		return out
 	}
 	out.Echo = uint64(arrival.Stamp)
-	if !confirmed.at.IsZero() {
-		lag := echo.Lag(a.momentOf(confirmed.at), arrival.At).Milliseconds()
-		out.ConfirmedNumber, out.ConfirmedLagMillis = confirmed.number, &lag
-	}
+	out.ConfirmedNumber, out.ConfirmedLagMillis = confirmed.number, a.lagMillis(confirmed.at, arrival)
+	out.RegistryLagMillis = a.lagMillis(registryAt, arrival)
 	return out
 }
 
+// lagMillis returns the lag of an instant, or nil if it is zero.
+func (a *Agent) lagMillis(i clock.Instant, arrival echo.Arrival) *int64 {
+	if i.IsZero() {
+		return nil
+	}
+	lag := echo.Lag(a.momentOf(i), arrival.At).Milliseconds()
+	return &lag
+}
+
 // applyExchange records the stamp of a peer and what the peer's confirmation proves of this
-// node's configuration.
-func (a *Agent) applyExchange(from string, x *digest.Exchange) {
+// node's configuration. It returns the instant up to which the checksums of a summary cover
+// the registry, or zero if that is not known.
+func (a *Agent) applyExchange(from string, x *digest.Exchange) (registryAt clock.Instant) {
 	now := a.moment()
 	if x.Stamp != 0 {
 		a.mu.Lock()
 		a.echoes.Record(from, echo.Arrival{Stamp: echo.Stamp(x.Stamp), At: now})
 		a.mu.Unlock()
 	}
-	if x.ConfirmedLagMillis == nil || *x.ConfirmedLagMillis > maxLagMillis || *x.ConfirmedLagMillis < -maxLagMillis {
-		return
+	if confirmedAt := a.instantFromLag(x.Echo, x.ConfirmedLagMillis, now); !confirmedAt.IsZero() {
+		a.recordConfirmation(x.ConfirmedNumber, confirmedAt, from)
 	}
-	lag := time.Duration(*x.ConfirmedLagMillis) * time.Millisecond
-	if moment, ok := a.echoClock.Moment(echo.Stamp(x.Echo), lag, now); ok {
-		a.recordConfirmation(x.ConfirmedNumber, a.instantOf(moment), from)
+	return a.instantFromLag(x.Echo, x.RegistryLagMillis, now)
+}
+
+// instantFromLag returns the instant that a peer's lag means by this node's clock, or zero if
+// the lag is missing or the returned stamp is not of this start of the node.
+func (a *Agent) instantFromLag(returned uint64, lagMillis *int64, now time.Duration) clock.Instant {
+	if lagMillis == nil || *lagMillis > maxLagMillis || *lagMillis < -maxLagMillis {
+		return clock.Instant{}
 	}
+	moment, ok := a.echoClock.Moment(echo.Stamp(returned), time.Duration(*lagMillis)*time.Millisecond, now)
+	if !ok {
+		return clock.Instant{}
+	}
+	return a.startedAt.Earlier(-moment)
 }
 
 // moment returns the time since the start of this node, standstills included.
@@ -186,6 +203,3 @@
 	now := a.moment()
 	return now - i.Age()
 }
-
-// instantOf returns the instant at a moment.
-func (a *Agent) instantOf(moment time.Duration) clock.Instant { return a.startedAt.Earlier(-moment) }
--- a/internal/agent/confirmation_test.go
+++ b/internal/agent/confirmation_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/digest"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/standin/platform"
@@ -117,7 +118,7 @@
 		a.dispatchMessage("child", digest.Message{Report: &digest.Report{Name: "child", Nodes: 1, ConfigNumber: 1}, Exchange: &digest.Exchange{Stamp: 7, Echo: stamp, ConfirmedNumber: 1}})
 		time.Sleep(200 * time.Millisecond)
 		is.Equal(a.buildReport(time.Now()).ConfigNumber, int64(1))
-		x := a.exchangeFor("child")
+		x := a.exchangeFor("child", clock.Instant{})
 		is.Equal(x.Echo, uint64(7))
 		is.True(*x.ConfirmedLagMillis > 4000)
 		age, _ := a.ConfirmedAge()
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -179,19 +179,18 @@
 }
 
 // checkRegistryChecksums compares this node's registry checksums with those of the
-// tree's root from a summary. If all agree, this node knows the registry as of the
-// root's registry age. If a bucket's checksum differs for longer than mismatchGrace, it
+// tree's root from a summary. If all agree, this node knows the registry up to
+// registryAt, if that is not zero. If a bucket's checksum differs for longer than mismatchGrace, it
 // requests the bucket's entries from the node that sent the summary, because a datagram
 // with entries may have been lost. It requests them at once if the root is new, which
 // sends no changes of the time without a root.
-func (a *Agent) checkRegistryChecksums(from string, s *digest.Summary) {
+func (a *Agent) checkRegistryChecksums(from string, s *digest.Summary, registryAt clock.Instant) {
 	own := a.registryChecksums()
 	now := time.Now()
 	a.mu.Lock()
 	a.tree.rootChecksums = s.Checksums
 	if own == s.Checksums {
-		confirmedAt := clock.NewInstant().Earlier(time.Duration(s.RegistryAgeMillis)*time.Millisecond + confirmSlack)
-		a.tree.registryConfirmedAt = laterInstant(a.tree.registryConfirmedAt, confirmedAt)
+		a.tree.registryConfirmedAt = laterInstant(a.tree.registryConfirmedAt, registryAt)
 	}
 	grace := mismatchGrace
 	if s.Term != a.tree.checkedTerm {
--- a/internal/agent/leaving_test.go
+++ b/internal/agent/leaving_test.go
@@ -260,3 +260,18 @@
 		}
 	})
 }
+
+// TestServerThatIsGoneIsUnusedByALateNode guards against a node that takes the registry for
+// known by summaries that it handles 3 s late, so does not watch it, and sends requests to a
+// server that is gone.
+func TestServerThatIsGoneIsUnusedByALateNode(t *testing.T) {
+	runCluster(t, 30, func(is *is.I, tc *testCluster) {
+		tc.writeConfig(1)
+		tc.startRequests(2)
+		tc.network.setDelay(nodeName(tc.nodeBelowRoot()), 3*time.Second)
+		tc.streamFor(6 * time.Second)
+		tc.stopRegistryWatches()
+		tc.removeServer(0)
+		is.True(tc.timeUntilUnused("g0") < leavingBound)
+	})
+}
--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -161,15 +161,12 @@
 	return i
 }
 
-// registryAgeForMessage returns the registry age of this node as the root of the tree of
-// nodes, for a summary, or -1 if it has not listed the registry in its term.
-func (a *Agent) registryAgeForMessage() int64 {
-	if !a.hasFullRegistry.Load() {
-		return -1
-	}
+// registryReadInstant returns the latest instant up to which this node is known to have read
+// all changes of the registry from the store.
+func (a *Agent) registryReadInstant() clock.Instant {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.registryReadAt.Age().Milliseconds()
+	return a.registryReadAt
 }
 
 // applyServerChange stores a change of the server registry in the fleet. At the root of
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -185,12 +185,22 @@
 }
 
 // send sends a message to a node's address. It returns the size of the datagram, or
-// 0 if sending failed, which is logged. It completes a digest, report or summary with the
-// exchange for the receiver.
+// 0 if sending failed, which is logged. It completes a digest or report with the exchange
+// for the receiver; summaries are sent by sendSummary.
 func (a *Agent) send(address string, m digest.Message) int {
-	if m.Digest != nil || m.Report != nil || m.Summary != nil {
-		m.Exchange = a.exchangeFor(address)
+	if m.Digest != nil || m.Report != nil {
+		m.Exchange = a.exchangeFor(address, clock.Instant{})
 	}
+	return a.sendComplete(address, m)
+}
+
+// sendSummary is send for a summary whose checksums cover the registry up to registryAt.
+func (a *Agent) sendSummary(address string, s *digest.Summary, registryAt clock.Instant) int {
+	return a.sendComplete(address, digest.Message{Summary: s, Exchange: a.exchangeFor(address, registryAt)})
+}
+
+// sendComplete sends a message that has its exchange, if any.
+func (a *Agent) sendComplete(address string, m digest.Message) int {
 	n, err := a.transport.Send(address, m)
 	if err != nil {
 		a.log.Write(event.DigestNotSent, slog.String("address", address), slog.Any("error", err))
@@ -258,8 +268,9 @@
 
 // dispatchMessage applies or answers a message from a peer according to its type.
 func (a *Agent) dispatchMessage(from string, m digest.Message) {
+	var registryAt clock.Instant
 	if m.Exchange != nil {
-		a.applyExchange(from, m.Exchange)
+		registryAt = a.applyExchange(from, m.Exchange)
 	}
 	switch {
 	case m.Digest != nil:
@@ -269,7 +280,7 @@
 	case m.Report != nil:
 		a.applyReport(from, m.Report)
 	case m.Summary != nil:
-		a.applySummary(from, m.Summary)
+		a.applySummary(from, m.Summary, registryAt)
 	case len(m.Entries) > 0:
 		a.applyEntries(m.Entries)
 	case m.EntriesRequest != nil:
--- a/internal/agent/summary.go
+++ b/internal/agent/summary.go
@@ -7,6 +7,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/digest"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/retry"
@@ -124,8 +125,9 @@
 
 // applySummary stores the state of all nodes from a summary, which the root of the tree
 // of nodes has sent, and forwards the summary to this node's children. It ignores
-// summaries that are repeated, out of order or of an earlier term.
-func (a *Agent) applySummary(from string, s *digest.Summary) {
+// summaries that are repeated, out of order or of an earlier term. registryAt is the instant
+// up to which the summary's checksums cover the registry, or zero if that is not known.
+func (a *Agent) applySummary(from string, s *digest.Summary, registryAt clock.Instant) {
 	now := time.Now()
 	a.config.Store.ObserveEra(ring.Era(s.Era))
 	a.mu.Lock()
@@ -140,7 +142,7 @@
 	a.tree.term, a.tree.sequence, a.tree.summaryAt, a.tree.nodeCount = s.Term, s.Sequence, now, s.Nodes
 	a.controller = s.Root // This is earlier than the next listing of the state prefix.
 	a.mu.Unlock()
-	a.forwardSummary(*s)
+	a.forwardSummary(*s, registryAt)
 	if !s.IsPartial {
 		a.applyReplicaStatuses(s.Replicas, now)
 		a.retryPool.Update(retry.Usage{Requests: s.Requests, Retries: s.Retries}, now.Add(retryPoolTTL))
@@ -148,8 +150,8 @@
 	}
 	a.applyAbandoned(s.Abandoned, now)
 	a.applyConfigNumber(from, s.ConfigNumber)
-	if s.RegistryAgeMillis >= 0 {
-		a.checkRegistryChecksums(from, s)
+	if s.HasRegistry {
+		a.checkRegistryChecksums(from, s, registryAt)
 	}
 }
 
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -293,15 +293,20 @@
 	sent := a.forwardEntries(entries) // Before the summary, whose checksums include them.
 	summary := digest.Summary{
 		Root: a.config.Name, Term: term, Sequence: sequence, Nodes: report.Nodes, ConfigNumber: report.ConfigNumber,
-		Checksums: a.registryChecksums(), RegistryAgeMillis: a.registryAgeForMessage(), IsPartial: isPartial, Abandoned: a.abandonedForMessage(), Era: report.Era,
+		HasRegistry: a.hasFullRegistry.Load(), IsPartial: isPartial, Abandoned: a.abandonedForMessage(), Era: report.Era,
+	}
+	var registryAt clock.Instant
+	if summary.HasRegistry {
+		registryAt = a.registryReadInstant() // Before the checksums, which cover all changes up to then.
+		summary.Checksums = a.registryChecksums()
 	}
 	if isPartial {
-		return sent + a.forwardSummary(summary)
+		return sent + a.forwardSummary(summary, registryAt)
 	}
 	summary.Replicas, summary.NodesChecksum, summary.Requests, summary.Retries = report.Replicas, a.nodesChecksum(), report.Requests, report.Retries
 	a.applyReplicaStatuses(report.Replicas, now)
 	a.retryPool.Update(retry.Usage{Requests: report.Requests, Retries: report.Retries}, now.Add(retryPoolTTL))
-	return sent + a.forwardSummary(summary) + a.repeatRefusals(a.allChildAddresses(), now) + a.repeatLimits(a.allChildAddresses(), now)
+	return sent + a.forwardSummary(summary, registryAt) + a.repeatRefusals(a.allChildAddresses(), now) + a.repeatLimits(a.allChildAddresses(), now)
 }
 
 // nodesChecksum returns a checksum over the names of all nodes that this node
@@ -336,18 +341,18 @@
 // forwardSummary sends a summary to this node's children in the tree of nodes and
 // returns the number of bytes sent. Regular children get every summary. Extra children
 // report to this node because their parent is silent; they get the summary as far as
-// the rate limit allows.
-func (a *Agent) forwardSummary(s digest.Summary) int {
+// the rate limit allows. registryAt is as in applySummary.
+func (a *Agent) forwardSummary(s digest.Summary, registryAt clock.Instant) int {
 	regular, extra := a.childAddresses()
 	sent := 0
 	for _, address := range regular {
-		sent += a.send(address, digest.Message{Summary: &s})
+		sent += a.sendSummary(address, &s, registryAt)
 	}
 	for _, address := range extra {
 		if a.extraChildLimiter.Tokens() <= 0 {
 			break
 		}
-		n := a.send(address, digest.Message{Summary: &s})
+		n := a.sendSummary(address, &s, registryAt)
 		a.extraChildLimiter.ReserveN(time.Now(), n)
 		sent += n
 	}
--- a/internal/agent/tree_test.go
+++ b/internal/agent/tree_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/digest"
 	"eelgrassring.dev/internal/standin/platform"
 )
@@ -211,7 +212,7 @@
 			a.mu.Lock()
 			term := a.tree.term
 			a.mu.Unlock()
-			a.applySummary("ghost", &digest.Summary{Root: "ghost", Term: term - 1, Sequence: 1 << 40, Nodes: 2})
+			a.applySummary("ghost", &digest.Summary{Root: "ghost", Term: term - 1, Sequence: 1 << 40, Nodes: 2}, clock.Instant{})
 			a.mu.Lock()
 			is.True(a.controller != "ghost")
 			a.mu.Unlock()
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -109,11 +109,10 @@
 	ConfigNumber int64
 	Replicas     ReplicaStatuses
 	// Checksums holds a checksum for each bucket of server IDs, over the registry
-	// entries that every node needs, as the root knows them. RegistryAgeMillis is the
-	// time since the root was last known to know the whole registry; -1 means that it
-	// has not listed the registry in its term, so that Checksums is not valid.
-	Checksums         BucketChecksums
-	RegistryAgeMillis int64
+	// entries that every node needs, as the root knows them. It is not valid unless
+	// HasRegistry is set: the root has listed the registry in its term.
+	Checksums   BucketChecksums
+	HasRegistry bool
 	// NodesChecksum covers the names of all nodes.
 	NodesChecksum uint16
 	// IsPartial is set in a summary sent before the regular interval has passed. It
@@ -233,17 +232,19 @@
 }
 
 // Exchange tells the receiver when its routing configuration is known to have been the
-// newest one, as a moment of the receiver's own clock; see package echo. Stamp is the
+// newest one, and the registry to be complete, as moments of the receiver's own clock; see package echo. Stamp is the
 // sender's, or 0 if none is due. Echo is a stamp of the receiver, or 0 if the sender has none. ConfirmedNumber and
 // ConfirmedLagMillis are the sender's confirmation: the number of its configuration, and the
-// lag of the moment at which this was last known to be the newest one. The lag is missing
-// without a confirmation or an echo.
+// lag of the moment at which this was last known to be the newest one. RegistryLagMillis, in
+// a summary, is that of the moment up to which its checksums cover all changes of the
+// registry. A lag is missing if the moment is not known or there is no echo.
 type Exchange struct {
 	_                  struct{} `cbor:",toarray"`
 	Stamp              uint64
 	Echo               uint64
 	ConfirmedNumber    int64
 	ConfirmedLagMillis *int64
+	RegistryLagMillis  *int64
 }
 
 // Message is the content of one datagram. Exactly one field is set, besides Exchange, which
