platform, agent: an odd registry entry takes one server out and nothing else

Reports of other operators: one odd entry among those of the workers ended the machines that read the list, or they stopped following it. Here nesting of 100,000 levels, numbers beyond 64 bits and ports over 65535 were errors already.

Server.Validate bounds names and numbers for entries, reports and what peers send; an epoch must be one that a controller can have given by the entry's revision; messages with entries are filled by size; an invalid entry is logged once, in 300 bytes; header values of a request have no line breaks.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -240,6 +240,8 @@
 	// registryReadAt is the latest moment up to which this node is known to have read
 	// all changes of the registry from the store.
 	registryReadAt clock.Instant
+	// invalidServers holds the servers whose registry entries are invalid.
+	invalidServers map[ring.VM]bool
 	// peers holds the other nodes by name.
 	peers map[string]*peer
 	// controller is the name of the last known controller.
@@ -282,7 +284,7 @@
 	a := &Agent{
 		config: c, fleet: c.Fleet, log: c.Log, transport: c.Transport, startedAt: clock.NewInstant(), digestRequested: make(chan struct{}, 1),
 		extraChildLimiter: rate.NewLimiter(extraChildBytesPerSecond, extraChildBurst), urgentLimiter: rate.NewLimiter(urgentBytesPerSecond, urgentBurst), stateListLimiter: rate.NewLimiter(rate.Every(stateListInterval), 1), noticeLimiter: rate.NewLimiter(noticeBytesPerSecond, noticeBurst),
-		configReadLimiter: rate.NewLimiter(rate.Every(configReadInterval), 1), retryPool: &retry.Pool{}, strikes: newStrikeQueue(), peers: map[string]*peer{}, probes: map[uint64]chan digest.ProbeReply{}, probeAnswers: make(chan struct{}, maxProbeAnswers),
+		configReadLimiter: rate.NewLimiter(rate.Every(configReadInterval), 1), retryPool: &retry.Pool{}, strikes: newStrikeQueue(), invalidServers: map[ring.VM]bool{}, peers: map[string]*peer{}, probes: map[uint64]chan digest.ProbeReply{}, probeAnswers: make(chan struct{}, maxProbeAnswers),
 		permits: newPermits(), echoClock: echo.NewClock(rand.Uint64()),
 	}
 	a.quota = quota.NewClient(a)
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -99,18 +99,31 @@
 	return sent
 }
 
-// sendEntries sends registry entries to one node, entriesPerDatagram at a time, and
-// returns the number of bytes sent.
+// sendEntries sends registry entries to one node, as many in a datagram as fit, and returns
+// the number of bytes sent.
 func (a *Agent) sendEntries(address string, entries []digest.Entry) int {
 	sent := 0
 	for len(entries) > 0 {
-		n := min(len(entries), entriesPerDatagram)
+		n, size := 1, entryBytes(entries[0])
+		for n < min(len(entries), entriesPerDatagram) && size+entryBytes(entries[n]) <= maxEntriesBytes {
+			size += entryBytes(entries[n])
+			n++
+		}
 		sent += a.send(address, digest.Message{Entries: entries[:n]})
 		entries = entries[n:]
 	}
 	return sent
 }
 
+// entryBytes returns the size of an entry in a message, in bytes, or a bit more.
+func entryBytes(e digest.Entry) int {
+	size := entryOverhead + len(e.ID) + len(e.Incarnation) + len(e.Service) + len(e.Address) + len(e.Zone) + len(e.Domain) + len(e.Model) + len(e.Group) + len(e.State)
+	for _, m := range e.Staged {
+		size += len(m) + 3
+	}
+	return size
+}
+
 // applyEntries stores registry changes that this node received from its parent in the
 // tree of nodes. It forwards the changes that it did not know yet to its children.
 func (a *Agent) applyEntries(entries []digest.Entry) {
@@ -122,6 +135,8 @@
 			isNew = a.fleet.MarkLeaving(ring.VM(e.ID), e.Incarnation, time.Now())
 		case e.Deleted:
 			isNew = a.fleet.Remove(ring.VM(e.ID), ring.Revision(e.Revision))
+		case checkServer(serverFromEntry(e), ring.Revision(e.Revision)) != nil:
+			// A node that has read the store does not send it; its log names such entries.
 		default:
 			a.serversMirror.Learn(a.serverKey(ring.VM(e.ID)), ring.Revision(e.Revision))
 			isNew = a.fleet.Put(serverFromEntry(e), ring.Revision(e.Revision))
--- a/internal/agent/leaving_test.go
+++ b/internal/agent/leaving_test.go
@@ -1,7 +1,10 @@
 package agent
 
 import (
+	"fmt"
+	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +13,9 @@
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/clock"
 	"eelgrassring.dev/internal/digest"
+	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/fake"
+	"eelgrassring.dev/internal/fleet"
 	"eelgrassring.dev/internal/standin/platform"
 )
 
@@ -165,6 +171,58 @@
 	})
 }
 
+// TestOddEntryTakesOnlyItsServerOut guards against an entry of another writer that stops the
+// nodes from following the others, uses up the epochs of replicas, or is logged with each of
+// its heartbeats.
+func TestOddEntryTakesOnlyItsServerOut(t *testing.T) {
+	odd := map[string]string{
+		"nested": strings.Repeat("[", 100_000), "epoch": `{"ID":"epoch","Service":"s","Membership":{"Group":"g","Epoch":18446744073709551615}}`,
+		"number": `{"Slots":92233720368547758080}`, "text": `{"ID":"text","Service":"` + strings.Repeat("s", 3000) + `"}`,
+	}
+	for _, nodes := range []int{3, 30} {
+		runCluster(t, nodes, func(is *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			tc.startRequests(2)
+			for range 5 {
+				for name, value := range odd {
+					tc.writeKey("server/"+name, []byte(value))
+				}
+				tc.streamFor(500 * time.Millisecond)
+			}
+			tc.putServer(headOfReplica(2))
+			tc.streamFor(2500 * time.Millisecond)
+			is.Equal(tc.nodesSendingTo("g0"), nodes)
+			is.Equal(tc.nodesSendingTo("g2"), nodes)
+			for _, a := range tc.agents {
+				for name := range odd {
+					_, known := a.fleet.Server(ring.VM(name))
+					is.True(!known)
+				}
+			}
+			if lines := tc.decisions.count(event.ServerInvalid.Name); lines > nodes*len(odd) {
+				t.Errorf("%d nodes: %d log lines for %d invalid entries", nodes, lines, len(odd))
+			}
+		})
+	}
+}
+
+// TestLargeEntriesReachAllNodes guards against entries that fill a datagram one by one, and
+// whose messages would be too large together.
+func TestLargeEntriesReachAllNodes(t *testing.T) {
+	is := is.New(t)
+	network := &testNetwork{transports: map[string]*testTransport{}, bytes: map[string]int{}, messages: map[string]int{}}
+	a := New(Config{Transport: &testTransport{network: network, address: "a"}, Store: fake.NewStore(platform.NewKeyspace()), Fleet: fleet.New(), Log: event.NewLog(slog.New(slog.DiscardHandler)), Timing: DefaultTiming()})
+	var entries []digest.Entry
+	for i := range 12 {
+		entries = append(entries, digest.Entry{ID: fmt.Sprint("i", i), Service: strings.Repeat("s", 250), Domain: strings.Repeat("d", 250), Revision: 1 << 50, Epoch: 1 << 60})
+	}
+	sent := a.sendEntries("b", entries)
+	_, messages := network.sent("a")
+	is.True(sent > 12*500)
+	is.True(sent/messages <= 1400)
+	is.True(messages >= 6)
+}
+
 // announceLeaving writes that the head of the replica with the given index is about to
 // stop.
 func (tc *testCluster) announceLeaving(i int) {
--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"strings"
@@ -10,6 +11,7 @@
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/catalog"
 	"eelgrassring.dev/internal/clock"
+	"eelgrassring.dev/internal/composition"
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/mirror"
 	"eelgrassring.dev/internal/route"
@@ -175,13 +177,17 @@
 func (a *Agent) applyServerChange(c ring.Change) {
 	id := ring.VM(strings.TrimPrefix(c.Entry.Key, a.config.Directory.ServerPrefix()))
 	if c.Deleted {
+		a.logInvalidServer(id, nil)
 		a.removeServer(id, c.Entry.Modified)
 		a.log.Write(event.ServerRemoved, slog.String("vm", string(id)), slog.Int64("revision", int64(c.Entry.Modified)))
 		return
 	}
 	s, err := a.config.Directory.ReadServer(c.Entry.Key, c.Entry.Value)
+	if err == nil {
+		err = checkServer(s, c.Entry.Modified)
+	}
+	a.logInvalidServer(id, err)
 	if err != nil {
-		a.log.Write(event.ServerInvalid, slog.String("vm", string(id)), slog.Any("error", err))
 		a.removeServer(id, c.Entry.Modified)
 		return
 	}
@@ -194,6 +200,43 @@
 	}
 }
 
+// checkServer returns an error if a registry entry says what no server can: a value out of
+// range, or an epoch that no controller can have given by the entry's revision. A composer
+// continues after the largest epoch that it sees.
+func checkServer(s ring.Server, revision ring.Revision) error {
+	if s.Membership.Epoch > composition.MaxEpoch(revision) {
+		return fmt.Errorf("epoch %d is larger than any given so far", s.Membership.Epoch)
+	}
+	return s.Validate()
+}
+
+const (
+	// maxInvalidServers bounds the invalid entries that are remembered, and so logged once.
+	maxInvalidServers = 1000
+	// maxErrorText bounds a logged error, in bytes: it may quote what it is about.
+	maxErrorText = 300
+)
+
+// logInvalidServer logs that a registry entry is invalid, once until it becomes valid or is
+// deleted; err is nil then. Its owner may write it anew with each heartbeat.
+func (a *Agent) logInvalidServer(id ring.VM, err error) {
+	a.mu.Lock()
+	wasInvalid := a.invalidServers[id]
+	switch {
+	case err == nil:
+		delete(a.invalidServers, id)
+	case len(a.invalidServers) < maxInvalidServers:
+		a.invalidServers[id] = true
+	default:
+		wasInvalid = true
+	}
+	a.mu.Unlock()
+	if err != nil && !wasInvalid {
+		text := err.Error()
+		a.log.Write(event.ServerInvalid, slog.String("vm", string(id)), slog.String("error", text[:min(len(text), maxErrorText)]))
+	}
+}
+
 // removeServer removes a server from the fleet. At the root of the tree of nodes, it also
 // queues the removal to be sent to the other nodes.
 func (a *Agent) removeServer(id ring.VM, revision ring.Revision) {
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -66,9 +66,11 @@
 	// stateListInterval is the minimum time between two listings of the state prefix
 	// that a node starts because the root knows a different set of nodes.
 	stateListInterval = 1500 * time.Millisecond
-	// entriesPerDatagram is the number of registry entries that fit into one
-	// datagram.
+	// entriesPerDatagram is the largest number of registry entries in one datagram,
+	// maxEntriesBytes their size, and entryOverhead what an entry takes besides its names.
 	entriesPerDatagram = 6
+	maxEntriesBytes    = 1300
+	entryOverhead      = 80
 )
 
 // treePeer is the peer name under which the fleet stores the requests at each replica,
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -30,6 +30,10 @@
 	return ring.Epoch(int64(term.Era())*revisionsPerEra+term.Number()) * epochsPerTerm
 }
 
+// MaxEpoch returns the largest epoch that anyone can know at a revision of the store: the last
+// one of a term that began just then.
+func MaxEpoch(r ring.Revision) ring.Epoch { return firstEpoch(r) + epochsPerTerm }
+
 // Composer decides which servers of one service form which replicas, and which orders
 // the servers get. The zero value is not usable; call New.
 type Composer struct {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -13,6 +13,7 @@
 	"net/textproto"
 	"sort"
 	"strconv"
+	"strings"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -191,6 +192,10 @@
 	return body, err
 }
 
+// lineBreaks replaces the line breaks of a header value: a name from the registry or the
+// configuration must not add a line to a request.
+var lineBreaks = strings.NewReplacer("\r", " ", "\n", " ")
+
 // requestHead returns the encoded request line and header of an attempt. The method and
 // the target are those of the caller, byte for byte, as is the body that is sent after
 // them.
@@ -211,7 +216,7 @@
 		for _, value := range h[name] {
 			b.WriteString(name)
 			b.WriteString(": ")
-			b.WriteString(textproto.TrimString(value))
+			b.WriteString(lineBreaks.Replace(textproto.TrimString(value)))
 			b.WriteString("\r\n")
 		}
 	}
--- a/server.go
+++ b/server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"strconv"
 	"strings"
 )
 
@@ -73,6 +75,50 @@
 	Orders int64
 }
 
+// Bounds of what a registry entry or a report may say of a server. MaxServerText is in bytes,
+// over all names together; an entry within it fits into one message between nodes.
+const (
+	MaxServerSlots    = 1 << 20
+	MaxServerRequests = 1 << 30
+	MaxServerRank     = 1 << 16
+	MaxServerSlowdown = 1e6
+	MaxServerText     = 1000
+)
+
+// Validate returns an error that names each field with a value that no server can have, or
+// nil. An entry of the registry may come from another writer.
+func (s Server) Validate() error {
+	var errs []error
+	check := func(ok bool, field string, value any) {
+		if !ok {
+			errs = append(errs, fmt.Errorf("%s %v is out of range", field, value))
+		}
+	}
+	text := len(s.ID) + len(s.Incarnation) + len(s.Service) + len(s.Address) + len(s.Zone) + len(s.Domain) + len(s.Model) + len(s.Membership.Group)
+	for _, m := range s.Staged {
+		text += len(m) + 1
+	}
+	check(text <= MaxServerText, "size of all names", text)
+	check(isPrintable(string(s.ID)), "ID", strconv.Quote(string(s.ID[:min(len(s.ID), 40)])))
+	check(0 <= s.Slots && s.Slots <= MaxServerSlots, "number of slots", s.Slots)
+	check(0 <= s.Running && s.Running <= MaxServerRequests, "number of running requests", s.Running)
+	check(0 <= s.Waiting && s.Waiting <= MaxServerRequests, "number of waiting requests", s.Waiting)
+	check(0 <= s.Membership.Rank && s.Membership.Rank <= MaxServerRank, "rank", s.Membership.Rank)
+	check(0 <= s.Slowdown && s.Slowdown <= MaxServerSlowdown, "slowdown", s.Slowdown)
+	return errors.Join(errs...)
+}
+
+// isPrintable reports whether text consists of visible ASCII characters, so that it can be
+// the value of a header.
+func isPrintable(text string) bool {
+	for i := range len(text) {
+		if text[i] <= ' ' || text[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
 // HasStaged reports whether the model m is staged in the host's memory.
 func (s Server) HasStaged(m Model) bool {
 	for _, staged := range s.Staged {
