node, placement, vmlist: an odd group record or list entry takes only itself out

Both tests failed before. Records are decoded and checked one by one, list entries too, and each is logged (204, 214).

--- a/backend.go
+++ b/backend.go
@@ -96,6 +96,7 @@
 
 // VMList is the platform's list of live and leaving VMs. It may be out of date.
 type VMList interface {
-	// VMs fetches the list.
+	// VMs fetches the list. Together with an error it returns the entries that could be
+	// read, or nil; a VM that is missing is not considered failed.
 	VMs(ctx context.Context) ([]ListedVM, error)
 }
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -37,6 +37,7 @@
 	ConfigurationConfirmed   = Kind{211, "configuration confirmed", slog.LevelInfo}        // it is known to be the newest one; written if that was last known a while ago
 	KeysNotAccepted          = Kind{212, "API keys not accepted", slog.LevelWarn}          // the configuration was last confirmed too long ago
 	KeysAccepted             = Kind{213, "API keys accepted", slog.LevelInfo}
+	VMListIncomplete         = Kind{214, "list of VMs incomplete", slog.LevelWarn} // it was not returned, or some entries cannot be read
 	PeerFound                = Kind{301, "peer found", slog.LevelInfo}
 	PeerLost                 = Kind{302, "peer lost", slog.LevelWarn}
 	ControllerLeaseAcquired  = Kind{303, "controller lease acquired", slog.LevelInfo}
@@ -78,7 +79,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		Started, Draining, Stopped, SettingsChecked,
-		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored, ConfigurationConfirmed, KeysNotAccepted, KeysAccepted,
+		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored, ConfigurationConfirmed, KeysNotAccepted, KeysAccepted, VMListIncomplete,
 		PeerFound, PeerLost, ControllerLeaseAcquired, ControllerLeaseLost, MembershipLeaseLost, PeerRecordInvalid, DigestNotSent, ConfigurationFetchFailed,
 		GroupRecordWritten, GroupRecordRejected, OrderSent, OrderFailed, OrderFenced, VMLeaving, CapacityChanged, GroupRecovered,
 		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused, RefusalDecided, ServerLimited, LimitUnreadable, RefusalEnded,
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -311,7 +311,7 @@
 }
 
 // readState reads all group records, the owners of VMs and the largest epoch from the
-// store.
+// store. It leaves out records that cannot be decoded.
 func (c *controllerTerm) readState(ctx context.Context) (placement.StateLoaded, error) {
 	var out placement.StateLoaded
 	store := c.node.config.Store
@@ -320,9 +320,10 @@
 		return out, err
 	}
 	for _, e := range groups {
-		var r placement.Record
-		if err := json.Unmarshal(e.Value, &r); err != nil {
-			return out, err
+		r, err := placement.DecodeRecord(groupOfKey(e.Key), e.Value)
+		if err != nil { // The other groups do not depend on it.
+			c.node.log.Write(event.ConfigurationInvalid, slog.String("key", e.Key), slog.Any("error", err))
+			continue
 		}
 		out.Records = append(out.Records, placement.StoredRecord{Record: r, Modified: e.Modified})
 	}
--- a/internal/node/control_test.go
+++ b/internal/node/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -70,3 +71,24 @@
 		is.True(exists)
 	})
 }
+
+// TestOddRecordTakesOnlyItsGroupOut guards against a group record of another writer that keeps
+// the controller from reading all others, or uses up the epochs.
+func TestOddRecordTakesOnlyItsGroupOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		keys := platform.NewKeyspace()
+		for name, value := range map[ring.Group]string{
+			"sound": `{"group":"sound","epoch":3,"slots":4}`, "nested": strings.Repeat("[", 100_000), "number": `{"group":"number","epoch":1e99}`,
+			"epoch": `{"group":"epoch","epoch":18446744073709551615}`, "other": `{"group":"sound","epoch":9}`, "slots": `{"group":"slots","slots":-1}`,
+		} {
+			_, err := keys.Commit(t.Context(), ring.Txn{Writes: []ring.Write{{Key: catalog.GroupKey(name), Value: []byte(value)}}})
+			is.NoErr(err)
+		}
+		c := &controllerTerm{node: newCandidate(keys, "a")}
+		state, err := c.readState(t.Context())
+		is.NoErr(err)
+		is.Equal(len(state.Records), 1)
+		is.Equal(state.Records[0].Record.Epoch, ring.Epoch(3))
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -231,9 +231,14 @@
 // runVMList reads the platform's list of VMs at intervals and passes it to the
 // table and to the placement controller.
 func (n *Node) runVMList(ctx context.Context) {
+	wasComplete := true
 	clock.Every(ctx, n.config.Timing.VMListInterval, func(ctx context.Context) {
 		vms, err := n.config.VMList.VMs(ctx)
-		if err != nil {
+		if err != nil && wasComplete {
+			n.log.Write(event.VMListIncomplete, slog.Any("error", err))
+		}
+		wasComplete = err == nil
+		if vms == nil {
 			return // Keep the last list; backend servers also report that they are leaving.
 		}
 		n.table.UpdateVMList(vms)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -150,15 +150,20 @@
 	}
 }
 
+// groupOfKey returns the group whose record is stored under a key.
+func groupOfKey(key string) ring.Group {
+	return ring.Group(strings.TrimPrefix(key, catalog.GroupPrefix))
+}
+
 // applyRecord applies the write or deletion of a group's record to the table.
 func (n *Node) applyRecord(c ring.Change) {
-	group := ring.Group(strings.TrimPrefix(c.Entry.Key, catalog.GroupPrefix))
+	group := groupOfKey(c.Entry.Key)
 	if c.Deleted {
 		n.table.DeleteRecord(group, c.Entry.Modified)
 		return
 	}
-	var r placement.Record
-	if err := json.Unmarshal(c.Entry.Value, &r); err != nil {
+	r, err := placement.DecodeRecord(group, c.Entry.Value)
+	if err != nil {
 		n.log.Write(event.ConfigurationInvalid, slog.String("key", c.Entry.Key), slog.Any("error", err))
 		return
 	}
--- a/internal/placement/record.go
+++ b/internal/placement/record.go
@@ -20,6 +20,9 @@
 package placement
 
 import (
+	"encoding/json"
+	"errors"
+	"fmt"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -63,6 +66,29 @@
 	DrainUntil time.Time `json:"drain,omitzero"`
 }
 
+// MaxEpoch bounds the epochs of records, so that the next one can be larger.
+const MaxEpoch ring.Epoch = 1 << 60
+
+// DecodeRecord decodes the stored record of a group. It returns an error that names each
+// field with a value that no controller can have written.
+func DecodeRecord(group ring.Group, value []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Record{}, fmt.Errorf("decode the record of group %s: %w", group, err)
+	}
+	var errs []error
+	if r.Group != group {
+		errs = append(errs, fmt.Errorf("the record of group %s names another group", group))
+	}
+	if r.Epoch > MaxEpoch {
+		errs = append(errs, fmt.Errorf("the record of group %s has epoch %d", group, r.Epoch))
+	}
+	if r.Slots < 0 || r.Slots > ring.MaxServerSlots {
+		errs = append(errs, fmt.Errorf("the record of group %s has %d slots", group, r.Slots))
+	}
+	return r, errors.Join(errs...)
+}
+
 // HasMember reports whether the VM is a member in the record.
 func (r Record) HasMember(vm ring.VM) bool {
 	for _, m := range r.Members {
--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -57,16 +57,29 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("list VMs: unexpected status %d", resp.StatusCode)
 	}
-	var out []ring.ListedVM
+	var listed []json.RawMessage
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBody+1))
 	if err == nil && len(body) > maxResponseBody {
 		err = fmt.Errorf("response body exceeds %d bytes", maxResponseBody)
 	}
 	if err == nil {
-		err = json.Unmarshal(body, &out)
+		err = json.Unmarshal(body, &listed)
 	}
 	if err != nil {
 		return nil, fmt.Errorf("list VMs: %w", err)
 	}
+	out := make([]ring.ListedVM, 0, len(listed))
+	unread := 0
+	for _, entry := range listed {
+		var vm ring.ListedVM
+		if json.Unmarshal(entry, &vm) != nil {
+			unread++
+			continue
+		}
+		out = append(out, vm)
+	}
+	if unread > 0 {
+		return out, fmt.Errorf("list VMs: %d entries cannot be read", unread)
+	}
 	return out, nil
 }
--- a/internal/vmlist/endless_test.go
+++ b/internal/vmlist/endless_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/endless"
 )
 
@@ -44,3 +47,15 @@
 		}
 	}
 }
+
+// TestOddEntryOfTheListHidesNoOther guards against one entry that cannot be read, which would
+// keep the nodes from learning that other VMs are leaving.
+func TestOddEntryOfTheListHidesNoOther(t *testing.T) {
+	is := is.New(t)
+	list := `[{"vm":"a","state":"leaving"},{"vm":7},` + strings.Repeat("[", 5000) + strings.Repeat("]", 5000) + `,"x",{"vm":"b","state":9e99},{"vm":"c","state":"leaving"}]`
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(list)) }))
+	defer server.Close()
+	got, err := New(Config{Address: strings.TrimPrefix(server.URL, "http://")}).VMs(t.Context())
+	is.True(err != nil) // for the log
+	is.Equal(got, []ring.ListedVM{{VM: "a", State: ring.VMLeaving}, {VM: "c", State: ring.VMLeaving}})
+}
