gateway: no request shares a connection with another in the own interface

A report of other operators: a worker wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run which a worker ran. Here discovered servers get each request on a connection of its own, and the test of this holds before and after. Declared groups and services reused connections for first attempts of idempotent requests: the test got 'refused, not run' for a request that runs (a refusal repeated at once, or by halves), and another caller's body with status 200 where a surplus success came. A refusal was taken as one before the response's request ID was looked at, and services name no ID at all. An answer can be told to belong to a request only by its connection, so each request has its own.

The fake network lets the kernel of a paused host accept connections, as real ones do; without that, TestRequestThatArrivesLateAtAnIncompleteGroup could not make a request arrive late any more.

--- a/internal/fake/network.go
+++ b/internal/fake/network.go
@@ -169,6 +169,14 @@
 	return h, open, open && !n.blockedResponses[l], n.changed
 }
 
+// isOpen reports whether neither direction of a link is blocked. The kernel of a paused host
+// still accepts connections.
+func (n *Network) isOpen(l linkKey) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.blocked[l] && !n.blockedResponses[l]
+}
+
 // awaitLink waits until responses (isResponse) or requests (not isResponse)
 // pass over a link. It returns an error if the context ends first.
 func (n *Network) awaitLink(ctx context.Context, l linkKey, isResponse bool) error {
@@ -235,11 +243,11 @@
 // connect simulates opening a connection: it returns nil, or the error that TCP
 // would return if the host is down or the link is blocked.
 func (t *transport) connect(ctx context.Context, l linkKey) error {
-	h, requests, responses, _ := t.network.linkState(l)
+	h, _, _, _ := t.network.linkState(l)
 	if h == nil || !h.up {
 		return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
 	}
-	if t.keepAlive || (requests && responses) {
+	if t.keepAlive || t.network.isOpen(l) {
 		return nil
 	}
 	timer := time.NewTimer(dialTimeout)
--- a/internal/fake/nodeprocess.go
+++ b/internal/fake/nodeprocess.go
@@ -58,7 +58,7 @@
 		Log:      log, Timing: timing, Placement: placement.DefaultOptions(),
 	})
 	if s.options.WrapTransport != nil {
-		keepAlive, fresh = s.options.WrapTransport(keepAlive), s.options.WrapTransport(fresh)
+		fresh = s.options.WrapTransport(fresh)
 	}
 	batch := claim.DefaultBatchConfig()
 	batch.Nodes = n.NodeCount
@@ -66,7 +66,7 @@
 	process := &NodeProcess{Name: name, Node: n, Store: store, done: make(chan struct{})}
 	process.Gateway = gateway.New(gateway.Config{
 		Node: n, Ledger: ledger, Log: log, Metrics: metric.New(), MaxBody: 1 << 20, QueueLimit: 1000,
-		FirstTimeout: 10 * time.Second, StallTimeout: 3 * time.Second, MaxWait: 10 * time.Second, KeepAlive: keepAlive, Fresh: fresh,
+		FirstTimeout: 10 * time.Second, StallTimeout: 3 * time.Second, MaxWait: 10 * time.Second, Transport: fresh,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	process.cancel, process.ctx = cancel, ctx
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -150,15 +150,10 @@
 	return true
 }
 
-// sendAttempt sends one attempt and returns the response with its body unread. If
-// freshConn is set, it opens a new connection. Only the first attempt of an idempotent
-// request may reuse one. to is the server's key for rate limits.
-func (s *Server) sendAttempt(ctx context.Context, req *http.Request, to quota.Key, freshConn bool, trace *connTrace) (*http.Response, *attemptError) {
-	transport := s.keepAlive
-	if freshConn {
-		transport = s.fresh
-	}
-	resp, err := transport.RoundTrip(req.WithContext(trace.withContext(ctx)))
+// sendAttempt sends one attempt and returns the response with its body unread. to is the
+// server's key for rate limits.
+func (s *Server) sendAttempt(ctx context.Context, req *http.Request, to quota.Key, trace *connTrace) (*http.Response, *attemptError) {
+	resp, err := s.transport.RoundTrip(req.WithContext(trace.withContext(ctx)))
 	if err != nil {
 		return nil, trace.classify(err)
 	}
--- a/internal/gateway/declaredsuspect.go
+++ b/internal/gateway/declaredsuspect.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return false
 	}
-	resp, err := s.fresh.RoundTrip(req)
+	resp, err := s.transport.RoundTrip(req)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/gateway/endless_declared_test.go
+++ b/internal/gateway/endless_declared_test.go
@@ -31,16 +31,18 @@
 
 // newEndlessServer returns a Server whose connections all reach s.
 func newEndlessServer(s *endless.Server) *Server {
-	transport := func(freshConn bool) http.RoundTripper {
-		t := newTransport(testFirstTimeout, freshConn)
-		t.DialContext = s.Dial
-		return t
-	}
+	return newDialingServer(s.Dial)
+}
+
+// newDialingServer returns a Server that opens its connections by dial.
+func newDialingServer(dial Dialer) *Server {
+	transport := newTransport(testFirstTimeout)
+	transport.DialContext = dial
 	table := node.NewTable(node.TableConfig{})
 	return &Server{
 		config: Config{FirstTimeout: testFirstTimeout, StallTimeout: testStallTimeout, Log: event.NewLog(slog.New(slog.DiscardHandler)), Metrics: metric.New()},
 		table:  table, budget: retry.NewBudget(retry.DefaultConfig()), sweeper: newSweeper(table), bodies: newBodyMemory(maxTestBody, 4*maxTestBody),
-		keepAlive: transport(false), fresh: transport(true), permits: quota.NewClient(quota.Alone{}),
+		transport: transport, permits: quota.NewClient(quota.Alone{}),
 	}
 }
 
@@ -76,7 +78,7 @@
 				service: deployment.Service{Name: "app", Servers: []string{"s:1", "s:2"}, Timeout: deployment.Duration(testFirstTimeout)},
 			}
 			begin := time.Now()
-			resp, _, err := p.sendAndRead(context.Background(), "s:1", true)
+			resp, _, err := p.sendAndRead(context.Background(), "s:1")
 			is.True(resp == nil && err != nil)
 			is.Equal(err.stage, stageSent)
 			is.True(time.Since(begin) <= testFirstTimeout)
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -109,9 +109,9 @@
 }
 
 // attempt dispatches the request once and forwards the response. It returns nil if the
-// response was complete. If freshConn is set and the response is a stream, it asks the
+// response was complete. If isRepeat is set and the response is a stream, it asks the
 // backend server to resume after the chunks already sent to the caller.
-func (o *relay) attempt(ctx context.Context, route node.Route, freshConn bool) *attemptError {
+func (o *relay) attempt(ctx context.Context, route node.Route, isRepeat bool) *attemptError {
 	s := o.server
 	ctx, wd := newWatchdog(ctx, s.config.FirstTimeout)
 	defer wd.stop()
@@ -120,18 +120,18 @@
 		defer s.sweeper.untrack(wd)
 	}
 	offset := 0
-	if freshConn && o.request.stream {
+	if isRepeat && o.request.stream {
 		offset = o.sentChunks
 	}
 	req, err := o.request.newRequest(o.call, route, offset)
 	if err != nil {
 		return &attemptError{stage: stageNotSent, err: err}
 	}
-	if !freshConn {
+	if !isRepeat {
 		s.config.Metrics.Observe(metric.LatencyHop, o.call.class, time.Since(o.call.receivedAt)-o.call.queuedFor)
 	}
 	var conn connTrace
-	resp, failure := s.sendAttempt(ctx, req, routeKey(route), freshConn, &conn)
+	resp, failure := s.sendAttempt(ctx, req, routeKey(route), &conn)
 	if failure != nil {
 		return failure
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -65,10 +65,9 @@
 	MaxWait time.Duration
 	// QueueLimit is how many requests may wait.
 	QueueLimit int
-	// KeepAlive and Fresh send requests to backend servers; nil means TCP.
-	// KeepAlive reuses connections and Fresh opens one for each request.
-	KeepAlive http.RoundTripper
-	Fresh     http.RoundTripper
+	// Transport sends requests to backend servers, each on a connection of its own; nil
+	// means TCP.
+	Transport http.RoundTripper
 }
 
 // Server is the API for callers of a deployment's models and services.
@@ -84,9 +83,9 @@
 	permits *quota.Client
 	// unreadable limits the log lines of limits that could not be read.
 	unreadable logInterval
-	// keepAlive reuses connections and fresh opens one for each request.
-	keepAlive http.RoundTripper
-	fresh     http.RoundTripper
+	// transport sends requests to backend servers. It never reuses a connection, so that no
+	// response to another request can be taken for the response to this one.
+	transport http.RoundTripper
 	// settling counts claims whose outcome is being recorded.
 	settling sync.WaitGroup
 }
@@ -102,26 +101,22 @@
 		budget:    retry.NewBudget(retry.DefaultConfig()),
 		sweeper:   newSweeper(c.Node.Table()),
 		bodies:    newBodyMemory(maxDeclaredBody, maxDeclaredBodies),
-		keepAlive: c.KeepAlive,
-		fresh:     c.Fresh,
+		transport: c.Transport,
 		permits:   c.Node.Quota(),
 	}
-	if s.keepAlive == nil {
-		s.keepAlive = newTransport(c.FirstTimeout, false)
-	}
-	if s.fresh == nil {
-		s.fresh = newTransport(c.FirstTimeout, true)
+	if s.transport == nil {
+		s.transport = newTransport(c.FirstTimeout)
 	}
 	c.Node.SetDemand(s.scheduler)
 	return s
 }
 
-// newTransport returns a transport over TCP. With freshConn set it opens a
-// connection for each request, so it never resends a request.
-func newTransport(firstTimeout time.Duration, freshConn bool) *http.Transport {
+// newTransport returns a transport over TCP. It opens a connection for each request, so it
+// never resends one.
+func newTransport(firstTimeout time.Duration) *http.Transport {
 	return &http.Transport{
-		DialContext: newDialer().DialContext, MaxIdleConnsPerHost: 64, IdleConnTimeout: 30 * time.Second,
-		ResponseHeaderTimeout: firstTimeout, MaxResponseHeaderBytes: maxResponseHead, DisableCompression: true, DisableKeepAlives: freshConn,
+		DialContext: newDialer().DialContext, ResponseHeaderTimeout: firstTimeout,
+		MaxResponseHeaderBytes: maxResponseHead, DisableCompression: true, DisableKeepAlives: true,
 	}
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -125,7 +125,7 @@
 
 // sendAndRead sends the call to a server once and returns the response and its body,
 // which it has read to the end.
-func (p *serviceCall) sendAndRead(ctx context.Context, address string, freshConn bool) (*http.Response, []byte, *attemptError) {
+func (p *serviceCall) sendAndRead(ctx context.Context, address string) (*http.Response, []byte, *attemptError) {
 	ctx, wd := newWatchdog(ctx, p.service.CallTimeout())
 	defer wd.stop()
 	// Hide the bytes.Reader: http.NewRequest would set GetBody for it, and the
@@ -141,7 +141,7 @@
 		req.Body = http.NoBody
 	}
 	var conn connTrace
-	resp, failure := p.server.sendAttempt(ctx, req, addressKey(address), freshConn, &conn)
+	resp, failure := p.server.sendAttempt(ctx, req, addressKey(address), &conn)
 	if failure != nil {
 		return nil, nil, failure
 	}
@@ -163,7 +163,7 @@
 	if !ok {
 		return dispatchResult{notRun: true, reply: func() { p.failUnpermitted(w, next) }}
 	}
-	resp, body, err := p.sendAndRead(context.WithoutCancel(ctx), address, true)
+	resp, body, err := p.sendAndRead(context.WithoutCancel(ctx), address)
 	if err != nil {
 		p.server.logFailedAttempt(p.call, routeToAddress(address), err)
 		return dispatchResult{notRun: err.stage != stageSent, reply: func() { p.writeFailure(w, err) }}
@@ -183,7 +183,7 @@
 		if !ok {
 			return
 		}
-		resp, body, err := p.sendAndRead(ctx, address, n > 0 || !p.isIdempotent())
+		resp, body, err := p.sendAndRead(ctx, address)
 		if err == nil {
 			p.writeResponse(w, resp, body)
 			return
