gateway: only the rest of its own stream continues a broken one

A report of other operators: a stream broke off, and callers found the next worker's error in the middle of it, or it ended as if complete. A continuation must now be signed, and its events numbered if those before were; in the own interface it has status 200, and an error chunk ends the attempt. A signed continuation without events still completes a stream: a server says so that the caller has all, as TestNoRequestIsLostWhileTheNodeDrains needs; a server that is faulty in just this way cannot be told from it. The in-memory servers of two tests sign their streams now, as real ones do.

--- a/internal/gateway/events.go
+++ b/internal/gateway/events.go
@@ -23,6 +23,8 @@
 type streamEvent struct {
 	id  string
 	raw []byte
+	// hasFields is not set if there are only comments.
+	hasFields bool
 }
 
 // eventReader splits a stream of server-sent events into complete events.
@@ -40,7 +42,7 @@
 // no progress; those at the end of the stream are returned alone.
 func (r *eventReader) next() (streamEvent, error) {
 	var e streamEvent
-	hasField, isLineEmpty := false, false
+	isLineEmpty := false
 	for {
 		line, err := r.in.ReadSlice('\n')
 		if len(e.raw)+len(line) > maxEventBytes {
@@ -63,10 +65,10 @@
 		lastLine := e.raw[bytes.LastIndexByte(e.raw[:len(e.raw)-1], '\n')+1:]
 		content := bytes.TrimRight(lastLine, "\r\n")
 		isLineEmpty = len(content) == 0
-		if isLineEmpty && hasField {
+		if isLineEmpty && e.hasFields {
 			return e, nil
 		}
-		hasField = hasField || !isLineEmpty && content[0] != ':'
+		e.hasFields = e.hasFields || !isLineEmpty && content[0] != ':'
 		if id, ok := bytes.CutPrefix(content, []byte("id:")); ok {
 			e.id = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
--- a/internal/gateway/front_drain_test.go
+++ b/internal/gateway/front_drain_test.go
@@ -86,7 +86,7 @@
 	if last, ok := numericEventID(r.header.Get("Last-Event-Id")); ok {
 		next = int(last) + 1
 	}
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
 	for ; next <= 4; next++ {
 		pause(next)
 		writeChunk(c, fmt.Sprintf("id: %d\ndata: piece %d\n\n", next, next))
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -73,7 +73,7 @@
 		}
 	}
 	return ring.AnswerHeader{
-		ID: h.Get("T-Id"), NotRun: h.Get("T-NotRun") != "" || status == http.StatusMisdirectedRequest, Leaving: h.Get("T-Leaving") != "", Pause: pause, RateLimit: limit,
+		ID: h.Get("T-Id"), Signed: h.Get("T-Seal") != "", NotRun: h.Get("T-NotRun") != "" || status == http.StatusMisdirectedRequest, Leaving: h.Get("T-Leaving") != "", Pause: pause, RateLimit: limit,
 	}
 }
 
--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -265,6 +265,9 @@
 		f.config.Fleet.MarkFailed(chosen.Group, time.Now())
 		return false, &attemptError{stage: stageRefused, err: fmt.Errorf("refused with status %d by %s", x.response.StatusCode, x.header.FaultyServer)}
 	}
+	if o.started && !x.header.Signed {
+		return false, &attemptError{stage: stageSent, err: errForeign}
+	}
 	if !strings.HasPrefix(x.response.Header.Get("Content-Type"), "text/event-stream") || x.response.StatusCode != http.StatusOK {
 		isFinal, err := o.forwardWhole(ctx, x, chosen, isLast)
 		watch.stop()
@@ -309,6 +312,7 @@
 // if the stream breaks, and sets streaming at the first event.
 func (o *replicaRelay) forwardStream(ctx context.Context, x *exchange, chosen fleet.Replica, streaming *bool) *attemptError {
 	group := chosen.Group
+	isContinued := o.started
 	events := newEventReader(x.response.Body)
 	for {
 		e, err := events.next()
@@ -328,6 +332,9 @@
 		if err != nil {
 			return &attemptError{stage: stageSent, err: fmt.Errorf("stream broke: %w", err)}
 		}
+		if isContinued && o.isForeign(e) {
+			return &attemptError{stage: stageSent, err: errForeign}
+		}
 		now := time.Now()
 		o.front.config.Fleet.ObserveEvent(group, !*streaming, now)
 		if !*streaming {
@@ -371,6 +378,19 @@
 	return o.front.checkEnd(ctx, x, head)
 }
 
+// errForeign is the error of a response that does not continue the stream that the caller has
+// a part of: it is not signed, or has an event whose place in the stream is not known. A signed
+// one without events says that the caller has all.
+var errForeign = errors.New("the response does not continue the stream")
+
+// isForeign reports whether an event of a continued stream has no place in it: the events
+// before had numbers as their IDs, and this one has none.
+func (o *replicaRelay) isForeign(e streamEvent) bool {
+	_, isNumbered := numericEventID(o.lastEventID)
+	_, hasNumber := numericEventID(e.id)
+	return isNumbered && !hasNumber && e.hasFields
+}
+
 // isDuplicate reports whether the caller already has the event.
 func (o *replicaRelay) isDuplicate(e streamEvent) bool {
 	lastID, hasLast := numericEventID(o.lastEventID)
--- a/internal/gateway/frontsuspect_test.go
+++ b/internal/gateway/frontsuspect_test.go
@@ -33,7 +33,7 @@
 			}, ring.Revision(i+20))
 		}
 		h.handle = func(server string, _ int, r receivedRequest, c net.Conn) {
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.header.Get("T-Id"))
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.header.Get("T-Id"))
 			last, _ := numericEventID(r.header.Get("Last-Event-Id"))
 			event := func() {
 				last++
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -142,7 +142,7 @@
 	if resp.StatusCode >= http.StatusInternalServerError {
 		return &attemptError{stage: stageSent, err: fmt.Errorf("backend server failed: status %d", resp.StatusCode)}
 	}
-	if !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
+	if resp.StatusCode != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
 		return o.forwardWhole(resp)
 	}
 	o.replayed = resumedLength(resp, offset, len(o.sentText))
@@ -270,6 +270,9 @@
 	if !ok {
 		return &attemptError{stage: stageSent, err: fmt.Errorf("chunk is not valid JSON")}
 	}
+	if c.HasFailed() {
+		return &attemptError{stage: stageSent, err: fmt.Errorf("the backend server ended the stream with an error")}
+	}
 	if o.firstID == "" {
 		o.firstID = c.ID
 	}
--- a/internal/openai/types.go
+++ b/internal/openai/types.go
@@ -2,6 +2,8 @@
 // system reads and writes. The gateway forwards all other fields unchanged.
 package openai
 
+import "encoding/json"
+
 // Message is one message of a conversation and the role of its author.
 type Message struct {
 	Role    string `json:"role"`
@@ -39,8 +41,13 @@
 	Model   string   `json:"model"`
 	Choices []Choice `json:"choices"`
 	Usage   *Usage   `json:"usage,omitempty"`
+	// Error is set in a chunk with which a server ends a stream that failed.
+	Error json.RawMessage `json:"error,omitempty"`
 }
 
+// HasFailed reports whether the chunk says that its stream has failed.
+func (c Completion) HasFailed() bool { return len(c.Error) > 0 && string(c.Error) != "null" }
+
 // Text returns the text of the first choice, whichever of its fields holds it.
 func (c Completion) Text() string {
 	if len(c.Choices) == 0 {
