agent: a test of what the bound on keys costs nodes that the store refuses

With one node in four refused by the store and one message in ten lost, the refused nodes accept keys at every moment for 10 s, at 6, 91 and 295 nodes.

--- a/internal/agent/confirmation_test.go
+++ b/internal/agent/confirmation_test.go
@@ -265,3 +265,39 @@
 		tc.restartNode(i, platform.FaultDown)
 	}
 }
+
+// TestNodesWithoutStoreServeOverLossyLinks checks what the bound on keys costs: a node that
+// the store refuses accepts keys all the time, confirmed by its peers, while one message in
+// ten is lost and one node in four is refused, the one that is asked among them.
+func TestNodesWithoutStoreServeOverLossyLinks(t *testing.T) {
+	for _, nodes := range []int{6, 91, 295} {
+		runCluster(t, nodes, func(_ *is.I, tc *testCluster) {
+			tc.writeConfig(1)
+			time.Sleep(8 * time.Second)
+			random := rand.New(rand.NewPCG(uint64(nodes), 7))
+			tc.network.setDrops(func(string, digest.Message) bool { return random.IntN(10) == 0 })
+			refused := map[int]bool{}
+			for i := tc.nodeBelowRoot(); i < nodes; i += 4 {
+				refused[i] = !tc.agents[i].IsController()
+				if refused[i] {
+					tc.stores[i].SetFault(platform.FaultDown)
+				}
+			}
+			stops, oldest := 0, time.Duration(0)
+			for range 100 {
+				time.Sleep(100 * time.Millisecond)
+				for i := range refused {
+					age, _ := tc.agents[i].ConfirmedAge()
+					oldest = max(oldest, age)
+					if refused[i] && !tc.agents[i].acceptsActiveKeys() {
+						stops++
+					}
+				}
+			}
+			t.Logf("%d nodes, %d of them refused: the oldest confirmation has %s", nodes, len(refused), oldest)
+			if stops > 0 {
+				t.Errorf("%d nodes: refused nodes did not accept keys %d times", nodes, stops)
+			}
+		})
+	}
+}
