--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -234,7 +234,7 @@
 	wasComplete := true
 	clock.Every(ctx, n.config.Timing.VMListInterval, func(ctx context.Context) {
 		vms, err := n.config.VMList.VMs(ctx)
-		if err != nil && wasComplete {
+		if err != nil && wasComplete && ctx.Err() == nil {
 			n.log.Write(event.VMListIncomplete, slog.Any("error", err))
 		}
 		wasComplete = err == nil
