agent: an invalid entry from a peer is logged, and decoded once

Found on reading the change once more: entries from peers were converted twice, and an invalid one was dropped without a log line. What is used does not change.

--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -135,11 +135,15 @@
 			isNew = a.fleet.MarkLeaving(ring.VM(e.ID), e.Incarnation, time.Now())
 		case e.Deleted:
 			isNew = a.fleet.Remove(ring.VM(e.ID), ring.Revision(e.Revision))
-		case checkServer(serverFromEntry(e), ring.Revision(e.Revision)) != nil:
-			// A node that has read the store does not send it; its log names such entries.
 		default:
-			a.serversMirror.Learn(a.serverKey(ring.VM(e.ID)), ring.Revision(e.Revision))
-			isNew = a.fleet.Put(serverFromEntry(e), ring.Revision(e.Revision))
+			server := serverFromEntry(e)
+			err := checkServer(server, ring.Revision(e.Revision))
+			a.logInvalidServer(server.ID, err)
+			if err != nil {
+				continue
+			}
+			a.serversMirror.Learn(a.serverKey(server.ID), ring.Revision(e.Revision))
+			isNew = a.fleet.Put(server, ring.Revision(e.Revision))
 		}
 		if isNew {
 			applied = append(applied, e)
--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -132,9 +132,8 @@
 
 // recordRoutingRead records a read of the routing configuration from the store. It confirms
 // the active configuration if the store holds it; the value may be missing, not readable, or
-// older after a restore. While the registry is watched, the read
-// also shows that the store is reachable, so that the watch has reported the changes of the
-// registry up to then.
+// older after a restore. While the registry is watched, the read also shows that the store is
+// reachable, so that the watch has reported the changes of the registry up to then.
 func (a *Agent) recordRoutingRead(readStart clock.Instant, listed []ring.Entry) {
 	a.mu.Lock()
 	stored := a.storedConfig
