--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -65,6 +65,48 @@
 	return broken.Load(), nil
 }
 
+// runCrash: a worker crashes, again and again, while requests run whose answers end with their
+// connections. No client may get a part of an answer as a success.
+func runCrash(e *env) (bool, error) {
+	if err := e.setUpPlain(1); err != nil {
+		return false, err
+	}
+	const pieces, rounds = 10, 20 // 1 s
+	var broken, partial, failed atomic.Int64
+	for round := range rounds {
+		victim := fmt.Sprint("victim", round)
+		if err := e.startWorker(victim, "records", 110+round); err != nil {
+			return false, err
+		}
+		time.Sleep(time.Second) // Its entry is known by now.
+		var wait sync.WaitGroup
+		for i := range 18 { // about 6 at each of three workers
+			wait.Go(func() {
+				id := fmt.Sprintf("req-%d-%d", round, i)
+				a := e.callOnce(1, id, "POST", fmt.Sprintf("/book/%d?as=unframed&pieces=%d&gap=100", i, pieces), "key-one", "Content-Length: 0\r\n", 10*time.Second)
+				switch {
+				case a.status == http.StatusOK && a.complete && a.body != wholeBody(id, pieces):
+					e.log("BROKEN: %s was answered with success and %d of the worker's %d pieces", id, strings.Count(a.body, "data:"), pieces)
+					partial.Add(1)
+					broken.Store(1)
+				case a.status != http.StatusOK:
+					failed.Add(1)
+				}
+			})
+		}
+		time.Sleep(550 * time.Millisecond)
+		if e.isTroubled {
+			e.signal(victim, syscall.SIGKILL) // Its entry stays: it has no time to remove it.
+		}
+		wait.Wait()
+		e.signal(victim, syscall.SIGKILL)
+		time.Sleep(200 * time.Millisecond)
+		e.store.remove("servers/" + victim)
+	}
+	e.log("%d crashes; of the requests at the crashed workers, %d had a part as a success, %d a failure", rounds, partial.Load(), failed.Load())
+	return broken.Load() != 0, nil
+}
+
 // runSeal: workers answer some requests without the seal.
 func runSeal(e *env) (bool, error) {
 	if err := e.setUpPlain(1); err != nil {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,7 +28,7 @@
 // cases are the cases by name. Each reports whether the rule was broken, or an error if
 // it could not run.
 var cases = map[string]func(e *env) (bool, error){
-	"hang": runHang, "unframed": runUnframed, "sigterm": runSigterm, "tenant": runTenant, "seal": runSeal,
+	"hang": runHang, "unframed": runUnframed, "crash": runCrash, "sigterm": runSigterm, "tenant": runTenant, "seal": runSeal,
 }
 
 func main() {
