gateway, drain: a stopping node sends no request to a server that its end would cut off

Cause: the node took every request until 0.9 s before its end, whatever was known of it, and a stream that has begun can only be cut off. Connections whose response header was written before the stop were closed at a look every 20 ms, so a caller that sends its next request at once kept its connection for the whole drain.

Change: a request is sent to a server only if its own deadline is before the end, or if it usually takes no longer than the time left; once callers have noticed the stop, the second holds only for requests that a failure does not harm (idempotent, no stream). The others get a true 503 on a connection that closes. A drain keeps a connection 0.2 s for the next request after a response, and closes it after that one.

--- a/cmd/eelgrassd/routed.go
+++ b/cmd/eelgrassd/routed.go
@@ -54,6 +54,10 @@
 	// answerMargin before the rest is over, the requests without a response are answered.
 	drainMargin  = 500 * time.Millisecond
 	answerMargin = 400 * time.Millisecond
+	// settleTime is how long after the load balancer's lag the requests on connections that
+	// it opened last may arrive. From then on, only callers that keep their connections send
+	// more.
+	settleTime = 750 * time.Millisecond
 )
 
 // runRouted runs a node on a platform that declares routes and lists the
@@ -145,9 +149,12 @@
 			return nil
 		},
 		OnStop: func(context.Context) error {
+			begin := time.Now()
+			deadline := begin.Add(time.Duration(s.DrainTimeout) - drainMargin)
 			log.Write(event.Draining)
+			f.BeginStop(gateway.Stop{SettledAt: begin.Add(time.Duration(s.BalancerLag) + settleTime), AnswerAt: deadline.Add(-answerMargin)})
 			a.Drain()
-			err := drainCallers(callers, f.AnswerPending, time.Duration(s.BalancerLag), time.Now().Add(time.Duration(s.DrainTimeout)-drainMargin))
+			err := drainCallers(callers, f.AnswerPending, time.Duration(s.BalancerLag), deadline)
 			cancel()
 			peers.Stop()
 			<-stopped
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -13,6 +13,8 @@
 //
 //   - Once the drain has closed a connection, no request from it reaches the handler.
 //   - A busy connection is closed only after its response, or with the process.
+//   - A request that its caller sends within nextRequestGrace after a response reaches the
+//     handler.
 package drain
 
 import (
@@ -21,6 +23,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -30,13 +33,18 @@
 	// firstRequestGrace is how long after its start a drain keeps a new connection open
 	// for its first request.
 	firstRequestGrace = time.Second
+	// nextRequestGrace is how long after a response a drain keeps the connection open for
+	// the next request: a caller that sends it at once does so before it can notice a close,
+	// and could not tell whether it was read.
+	nextRequestGrace = 200 * time.Millisecond
 )
 
 // Server is an HTTP server whose Drain loses no request.
 type Server struct {
 	http *http.Server
 	// stopped is closed when Serve has returned.
-	stopped chan struct{}
+	stopped    chan struct{}
+	isDraining atomic.Bool
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -50,7 +58,7 @@
 // ConnState and ConnContext of s must not be set.
 func NewServer(s *http.Server) *Server {
 	out := &Server{http: s, stopped: make(chan struct{}), conns: map[*conn]struct{}{}}
-	s.Handler = refuseClosed(s.Handler)
+	s.Handler = out.closeAfterResponse(s.Handler)
 	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if own, ok := c.(*conn); ok {
 			own.recordState(state)
@@ -62,13 +70,17 @@
 	return out
 }
 
-// refuseClosed returns a handler that passes to next no request from a connection that
-// the drain has closed, since its response would reach nobody.
-func refuseClosed(next http.Handler) http.Handler {
+// closeAfterResponse returns a handler that passes to next no request from a connection
+// that the drain has closed, since its response would reach nobody. The response to a
+// request that comes during the drain is the last one on its connection.
+func (s *Server) closeAfterResponse(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.isClosed() {
 			panic(http.ErrAbortHandler)
 		}
+		if s.isDraining.Load() {
+			w.Header().Set("Connection", "close")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -83,9 +95,9 @@
 	return s.http.Serve(&listener{Listener: l, server: s})
 }
 
-// Drain closes the listener, and each connection as soon as it is idle. It returns when
-// all are closed, or with an error when the context ends. Until then, requests that
-// arrive on the connections that are left are served.
+// Drain closes the listener, and each connection when it has been idle for
+// nextRequestGrace. It returns when all are closed, or with an error when the context ends.
+// Until then, requests that arrive on the connections that are left are served.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	l := s.listener
@@ -93,6 +105,7 @@
 	if l == nil {
 		return nil
 	}
+	s.isDraining.Store(true)
 	keepNewUntil := time.Now().Add(firstRequestGrace)
 	if err := l.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
 		return err
@@ -101,7 +114,8 @@
 	ticker := time.NewTicker(closeInterval)
 	defer ticker.Stop()
 	for {
-		if s.closeIdle(time.Now().Before(keepNewUntil)) == 0 {
+		now := time.Now()
+		if s.closeIdle(now, now.Before(keepNewUntil)) == 0 {
 			return nil
 		}
 		select {
@@ -112,11 +126,11 @@
 	}
 }
 
-// closeIdle closes the idle connections, except new ones if keepNew is set. It returns
-// the number of connections that are left.
-func (s *Server) closeIdle(keepNew bool) int {
+// closeIdle closes the connections that have been idle for nextRequestGrace, except new
+// ones if keepNew is set. It returns the number of connections that are left.
+func (s *Server) closeIdle(now time.Time, keepNew bool) int {
 	for _, c := range s.openConns() {
-		c.closeIfIdle(keepNew)
+		c.closeIfIdle(now, keepNew)
 	}
 	return len(s.openConns())
 }
@@ -160,6 +174,8 @@
 	// isNew is set until the first request.
 	isNew  bool
 	isBusy bool
+	// idleSince is when the last response was complete.
+	idleSince time.Time
 	// isDrained is set when the drain has closed the connection. Bytes that were read
 	// since are discarded.
 	isDrained bool
@@ -204,14 +220,15 @@
 	case http.StateActive:
 		c.isBusy = true
 	case http.StateIdle:
-		c.isBusy = false
+		c.isBusy, c.idleSince = false, time.Now()
 	}
 }
 
-// closeIfIdle closes the connection if it is idle and, with keepNew, not new.
-func (c *conn) closeIfIdle(keepNew bool) {
+// closeIfIdle closes the connection if it has been idle for nextRequestGrace and, with
+// keepNew, is not new.
+func (c *conn) closeIfIdle(now time.Time, keepNew bool) {
 	c.mu.Lock()
-	keep := c.isBusy || (c.isNew && keepNew)
+	keep := c.isBusy || (c.isNew && keepNew) || now.Sub(c.idleSince) < nextRequestGrace
 	c.isDrained = c.isDrained || !keep
 	c.mu.Unlock()
 	if !keep {
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -291,3 +291,28 @@
 	callers.Wait()
 	is.Equal(h.served.Load(), answered.Load())
 }
+
+// TestRequestAfterAResponseIsAnswered guards against closing a connection while its caller
+// sends the next request, which it does as soon as it has read a response that began before
+// the drain: it could not tell whether the request was read. That response is the last one.
+func TestRequestAfterAResponseIsAnswered(t *testing.T) {
+	for _, pause := range []time.Duration{0, closeInterval + time.Millisecond, 150 * time.Millisecond} {
+		inBubble(t, pause.String(), func(t *testing.T) {
+			is := is.New(t)
+			h := newHarness(t, make(chan struct{}), nil)
+			c := h.dial(t)
+			c.send(t, request("first"))
+			waitFor(t, "the request", func() bool { return h.served.Load() == 1 })
+			drained := h.startDrain()
+			time.Sleep(time.Second)
+			close(h.hold)
+			is.Equal(c.receive(t), "first")
+			time.Sleep(pause)
+			c.send(t, request("second"))
+			response, err := http.ReadResponse(c.in, nil)
+			is.NoErr(err)
+			is.True(response.Close)
+			is.NoErr(<-drained)
+		})
+	}
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -106,9 +107,13 @@
 	selector *replicaSelector
 	// suspicion holds the attempts that may have to be given up.
 	suspicion *suspicion
-	// stopping ends when AnswerPending is called; stop ends it.
-	stopping context.Context
-	stop     context.CancelFunc
+	// stopping ends when AnswerPending is called; endStopping ends it. stop is the schedule
+	// of the shutdown, or nil before it.
+	stopping    context.Context
+	endStopping context.CancelFunc
+	stop        atomic.Pointer[Stop]
+	// durations estimates how long requests take.
+	durations *durations
 	// bodies bounds the memory for response bodies.
 	bodies *bodyMemory
 	// permits gets the permits for requests to servers with a rate limit. unreadable limits
@@ -126,16 +131,17 @@
 	if c.Suspects == nil {
 		c.Suspects = &suspect.Registry{}
 	}
-	stopping, stop := context.WithCancel(context.Background())
+	stopping, endStopping := context.WithCancel(context.Background())
 	f := &Front{
-		config:    c,
-		stopping:  stopping,
-		stop:      stop,
-		budgets:   newRetryBudgets(retry.Config{Ratio: c.RetryRatio, Burst: c.RetryBurst, Window: retryWindow}, c.Node),
-		servers:   newServerStats(),
-		suspicion: newSuspicion(),
-		bodies:    newBodyMemory(maxRoutedBody, maxRoutedBodies),
-		permits:   c.Node.Quota(),
+		config:      c,
+		stopping:    stopping,
+		endStopping: endStopping,
+		durations:   newDurations(),
+		budgets:     newRetryBudgets(retry.Config{Ratio: c.RetryRatio, Burst: c.RetryBurst, Window: retryWindow}, c.Node),
+		servers:     newServerStats(),
+		suspicion:   newSuspicion(),
+		bodies:      newBodyMemory(maxRoutedBody, maxRoutedBodies),
+		permits:     c.Node.Quota(),
 	}
 	f.selector = newReplicaSelector(c.Fleet, c.Node, f.mayTry)
 	return f
@@ -144,7 +150,7 @@
 // AnswerPending ends the requests whose response has not begun, and all later ones, with
 // a failure. It is called shortly before the process ends, which would close their
 // connections without a response.
-func (f *Front) AnswerPending() { f.stop() }
+func (f *Front) AnswerPending() { f.endStopping() }
 
 // frontRequest is a caller's request and the record of its attempts.
 type frontRequest struct {
@@ -153,9 +159,10 @@
 	service ring.RoutedService
 	// holder is the workspace of the caller's key; it is empty on a public route.
 	holder ring.KeyHolder
-	// receivedAt is when ServeHTTP was called, and deadline when the response must be
-	// complete.
+	// receivedAt is when ServeHTTP was called, readAt when the body was read, and deadline
+	// when the response must be complete.
 	receivedAt time.Time
+	readAt     time.Time
 	deadline   time.Time
 	method     string
 	// target is the request target as received, path and query.
@@ -200,8 +207,9 @@
 	code   ring.Code
 	// note says why the request failed, if the code does not.
 	note string
-	// outliveStop exempts the request from AnswerPending. It is called when the response
-	// begins.
+	// outliveStop exempts the request from AnswerPending. It is called right before the
+	// response begins, and returns false if AnswerPending was called first: the response
+	// must not begin then.
 	outliveStop func() bool
 }
 
@@ -210,14 +218,19 @@
 	req := &frontRequest{receivedAt: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host}
 	defer func() { f.recordOutcome(req, r.Context().Err() != nil) }()
 	failure := f.identify(req, r)
+	req.readAt = time.Now()
+	if failure == nil && isLongUpload(r) {
+		failure = f.refuseAtStop(req)
+	}
 	if failure == nil {
 		failure = f.readBody(req, w, r)
+		req.readAt = time.Now()
 	}
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil && f.stopping.Err() == nil {
 		panic(http.ErrAbortHandler)
 	}
-	if failure == nil && f.stopping.Err() != nil {
-		failure = ring.FailRetryAt(ring.CodeOverloaded, time.Now().Add(busyRetryAfter), "the node is stopping")
+	if failure == nil {
+		failure = f.refuseAtStop(req)
 	}
 	if failure == nil {
 		ctx, cancel := context.WithCancel(r.Context())
@@ -237,7 +250,7 @@
 	if failure == nil {
 		return
 	}
-	if r.Context().Err() != nil {
+	if r.Context().Err() != nil && f.stopping.Err() == nil {
 		// Otherwise net/http would send an empty response with status 200, which a caller
 		// that has closed only its sending side would read.
 		panic(http.ErrAbortHandler)
@@ -333,7 +346,11 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(req.deadline) // net/http sets a new deadline for the next request.
+	outliveStop := context.AfterFunc(f.stopping, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if !outliveStop() {
+		return f.refuseAtStop(req)
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -346,6 +363,16 @@
 	return nil
 }
 
+// minLongUpload is the least length of a body that a caller may still be sending when a
+// response to the header reaches it.
+const minLongUpload = 256 << 10
+
+// isLongUpload reports whether a response may come before the body has been read: the caller
+// waits for it, or would send the rest of a long body in vain.
+func isLongUpload(r *http.Request) bool {
+	return r.ContentLength >= minLongUpload || (r.ContentLength != 0 && r.Header.Get("Expect") != "")
+}
+
 // writeFailure writes a failure of this node as the response to the request.
 func (f *Front) writeFailure(w http.ResponseWriter, req *frontRequest, failure *ring.Failure) {
 	info := failure.Code.Info()
@@ -370,6 +397,8 @@
 	kind := event.RequestDone
 	if req.code != 0 {
 		kind = event.RequestFailed
+	} else if !callerLeft && req.status < http.StatusBadRequest {
+		f.durations.observe(req.durationClass(), now.Sub(req.receivedAt))
 	}
 	f.config.Log.Write(kind, slog.String("request", req.header.ID), slog.String("route", req.route.Name), slog.String("workspace", string(req.holder.Workspace)),
 		slog.String("model", string(req.header.Model)), slog.String("to", req.destination), slog.Int("tries", req.attempts), slog.Int("status", req.status), slog.Int("code", int(req.code)),
--- a/internal/gateway/front_kept_test.go
+++ b/internal/gateway/front_kept_test.go
@@ -75,6 +75,11 @@
 	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nT-Key: k\r\nT-Model: m\r\n%s%s\r\n%s", method, target, length, header, body); err != nil {
 		return nil, "", err
 	}
+	return c.receive()
+}
+
+// receive returns the next response like call.
+func (c *keptConn) receive() (*http.Response, string, error) {
 	response, err := http.ReadResponse(c.in, nil)
 	if err != nil {
 		return nil, "", err
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -51,7 +51,11 @@
 		if !ok {
 			break
 		}
-		if failure := f.refuseSuspect(req); failure != nil { // It may have waited for a permit.
+		failure := f.refuseSuspect(req) // It may have waited for a permit.
+		if failure == nil {
+			failure = f.refuseAtStop(req)
+		}
+		if failure != nil {
 			f.servers.cancel(server)
 			return failure
 		}
--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -58,6 +58,10 @@
 			}
 			break
 		}
+		if failure := f.refuseAtStop(req); failure != nil && !out.started {
+			f.config.Fleet.EndRequest(chosen.Group, false)
+			return out.finish(failure)
+		}
 		out.tried[chosen.Group] = true
 		req.destination = string(chosen.Group)
 		isLast := req.attempts+1 >= req.route.MaxAttempts
--- /dev/null
+++ b/internal/gateway/stop.go
@@ -0,0 +1,108 @@
+package gateway
+
+import (
+	"math/bits"
+	"sync"
+	"time"
+
+	ring "eelgrassring.dev"
+)
+
+// Stop is the schedule of a node that shuts down. A node that runs on has the zero value.
+type Stop struct {
+	// SettledAt is when callers have noticed the shutdown and choose other nodes. A request
+	// that is received later came on a connection that its caller has kept.
+	SettledAt time.Time
+	// AnswerAt is when the requests whose response has not begun are answered. Responses
+	// that have begun may go on for as long as the process lives.
+	AnswerAt time.Time
+}
+
+// admits reports whether a request that was read at readAt may be sent to a server at now.
+// It may if its own deadline is no later than AnswerAt. Otherwise it may if it usually takes
+// no longer than the time left: any request that was read before SettledAt, since a refusal
+// may lead its caller here again, and later ones only if a failure at AnswerAt does them no
+// harm, because they are idempotent and their response begins when it is complete. usual is
+// 0 if it is not known.
+func (s Stop) admits(now, readAt, deadline time.Time, usual time.Duration, isHarmless bool) bool {
+	switch {
+	case s.AnswerAt.IsZero() || !deadline.After(s.AnswerAt):
+		return true
+	case usual == 0 || (!isHarmless && !readAt.Before(s.SettledAt)):
+		return false
+	default:
+		return !now.Add(usual).After(s.AnswerAt)
+	}
+}
+
+// BeginStop makes the Front refuse the requests that cannot be expected to end before the
+// node does; see Stop. AnswerPending must be called at AnswerAt.
+func (f *Front) BeginStop(s Stop) { f.stop.Store(&s) }
+
+// refuseAtStop returns a failure if the node shuts down and the request must not be sent to
+// a server any more. The request has not run in this attempt.
+func (f *Front) refuseAtStop(req *frontRequest) *ring.Failure {
+	now := time.Now()
+	stop := f.stop.Load()
+	if f.stopping.Err() == nil && (stop == nil || stop.admits(now, req.readAt, req.deadline, f.durations.usual(req.durationClass()), req.route.Kind == ring.CallIdempotent)) {
+		return nil
+	}
+	f.config.Metrics.Count("refused_at_stop", 1)
+	return ring.FailRetryAt(ring.CodeOverloaded, now, "the node is stopping")
+}
+
+const (
+	// durationRise and durationFall are the weights of a sample above and below the
+	// estimate, so that most requests take no longer than the estimate.
+	durationRise = 0.5
+	durationFall = 0.02
+	// maxDurationClasses bounds the memory of the estimates.
+	maxDurationClasses = 1000
+)
+
+// durationClass is a class of requests that take about the same time.
+type durationClass struct {
+	route string
+	// size is the number of binary digits of the expected length of the response in tokens.
+	size int
+}
+
+// durationClass returns the class of a request that has a route.
+func (req *frontRequest) durationClass() durationClass {
+	return durationClass{route: req.route.Name, size: bits.Len(uint(max(req.header.OutputTokens, 0)))}
+}
+
+// durations estimates how long requests take until their response is complete.
+type durations struct {
+	mu      sync.Mutex
+	byClass map[durationClass]time.Duration
+}
+
+func newDurations() *durations { return &durations{byClass: map[durationClass]time.Duration{}} }
+
+// observe adds the duration of a request whose response was complete.
+func (d *durations) observe(c durationClass, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	estimate, known := d.byClass[c]
+	switch {
+	case !known && len(d.byClass) >= maxDurationClasses:
+		clear(d.byClass) // The routes may have changed.
+		estimate = took
+	case !known:
+		estimate = took
+	case took > estimate:
+		estimate += time.Duration(durationRise * float64(took-estimate))
+	default:
+		estimate -= time.Duration(durationFall * float64(estimate-took))
+	}
+	d.byClass[c] = max(estimate, 1)
+}
+
+// usual returns the time in which most requests of a class are complete, or 0 if there was
+// none.
+func (d *durations) usual(c durationClass) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.byClass[c]
+}
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,288 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/drain"
+	"eelgrassring.dev/internal/route"
+)
+
+const (
+	// The times of a stop in these tests. A request that is received lateTime after its
+	// beginning must be answered completely, or not be sent to a server.
+	stopLag     = 2 * time.Second
+	stopAnswer  = 7100 * time.Millisecond
+	stopEnd     = 7500 * time.Millisecond
+	lateTime    = 3 * time.Second
+	settledTime = 2750 * time.Millisecond
+)
+
+// TestStopAdmitsWhatEnds guards against sending requests to a server that the end of the
+// process would cut off, and against refusing those that would be complete before it.
+func TestStopAdmitsWhatEnds(t *testing.T) {
+	begin := time.Now()
+	stop := Stop{SettledAt: begin.Add(settledTime), AnswerAt: begin.Add(stopAnswer)}
+	for _, c := range []struct {
+		name                 string
+		at, deadline, usual  time.Duration
+		isHarmless, admitted bool
+	}{
+		{"its deadline is before the end", 3 * time.Second, 7 * time.Second, 0, false, true},
+		{"early, usually ends", time.Second, 9 * time.Second, 4 * time.Second, false, true},
+		{"early, usually does not end", 2 * time.Second, 10 * time.Second, 5200 * time.Millisecond, false, false},
+		{"early, not known", time.Second, 9 * time.Second, 0, false, false},
+		{"late, usually ends", 3 * time.Second, 11 * time.Second, time.Second, false, false},
+		{"late, usually ends, harmless", 3 * time.Second, 11 * time.Second, time.Second, true, true},
+		{"late, usually does not end, harmless", 6500 * time.Millisecond, 9 * time.Second, time.Second, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now := begin.Add(c.at)
+			if got := stop.admits(now, now, begin.Add(c.deadline), c.usual, c.isHarmless); got != c.admitted {
+				t.Errorf("admitted: %v", got)
+			}
+		})
+	}
+	if !(Stop{}).admits(begin, begin, begin.Add(time.Hour), 0, false) {
+		t.Error("a node that runs on refuses requests")
+	}
+}
+
+// TestUsualDurationFollowsTheLongOnes guards against an estimate that many requests exceed.
+func TestUsualDurationFollowsTheLongOnes(t *testing.T) {
+	is := is.New(t)
+	d := newDurations()
+	c := durationClass{route: "r", size: 7}
+	is.Equal(d.usual(c), time.Duration(0))
+	for i := range 400 {
+		d.observe(c, time.Second+time.Duration(i%10)*100*time.Millisecond)
+	}
+	is.True(d.usual(c) > 1600*time.Millisecond && d.usual(c) < 2*time.Second)
+	is.Equal(d.usual(durationClass{route: "r", size: 8}), time.Duration(0))
+	for i := range 2 * maxDurationClasses {
+		d.observe(durationClass{route: strconv.Itoa(i)}, time.Second)
+	}
+	is.True(len(d.byClass) <= maxDurationClasses)
+}
+
+// stopCase is a request that a caller sends at once after the response before, on the same
+// connection.
+type stopCase struct {
+	target string
+	// at is when it is sent, after the beginning of the stop.
+	at time.Duration
+	// isSplit is set if the second half of the body comes later.
+	isSplit bool
+}
+
+// stopTargets have the time that the server takes as their last part.
+var stopTargets = []string{"/draft/300", "/draft/2000", "/draft/4500", "/single/300", "/single/4500", "/write/60", "/write/1500", "/read/60", "/read/1500"}
+
+// stopDay is a node that stops while callers send on connections that they keep.
+type stopDay struct {
+	t        *testing.T
+	h        *frontHarness
+	conns    *pipeListener
+	begin    time.Time
+	mu       sync.Mutex
+	runs     map[string]int
+	statuses map[int]int
+}
+
+// serve responds after the time in the target; a stream has an event every 100 ms.
+func (d *stopDay) serve(_ string, _ int, r receivedRequest, c net.Conn) {
+	id := r.header.Get("T-Id")
+	d.mu.Lock()
+	d.runs[id]++
+	d.mu.Unlock()
+	target := strings.Fields(r.requestLine)[1]
+	ms, err := strconv.Atoi(target[strings.LastIndex(target, "/")+1:])
+	if err != nil {
+		d.t.Error(err)
+	}
+	if strings.HasPrefix(target, "/read") || strings.HasPrefix(target, "/write") {
+		time.Sleep(time.Duration(ms) * time.Millisecond)
+		respond(c, 200, id, "done")
+		return
+	}
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	for n := range ms / 100 {
+		writeChunk(c, fmt.Sprintf("id: %d\ndata: piece\n\n", n+1))
+		time.Sleep(100 * time.Millisecond)
+	}
+	endStream(c)
+}
+
+// dial opens a caller's connection.
+func (d *stopDay) dial() *keptConn {
+	client, conn := net.Pipe()
+	d.conns.conns <- conn
+	return &keptConn{Conn: client, in: bufio.NewReader(client)}
+}
+
+// play sends a stream that begins before the stop and ends at c.at, and then the request.
+func (d *stopDay) play(c stopCase, id string) {
+	caller := d.dial()
+	defer caller.Close()
+	const before = 500 * time.Millisecond
+	time.Sleep(time.Until(d.begin.Add(-before)))
+	first := fmt.Sprintf("/draft/%d", (before + c.at).Milliseconds())
+	if _, _, err := caller.call("POST", first, "x", "T-Id: first-"+id+"\r\n"); err != nil {
+		d.t.Errorf("%s: %v", first, err)
+		return
+	}
+	sentAt := time.Since(d.begin)
+	response, status, err := d.callNext(caller, c, id)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.statuses[status]++
+	switch runs := d.runs[id]; {
+	case runs > 0 && status == http.StatusServiceUnavailable:
+		d.t.Errorf("%v was run and refused", c)
+	case runs > 0 && err != nil && sentAt >= lateTime:
+		d.t.Errorf("%v was sent to a server and cut off: %v", c, err)
+	case err == nil && status == http.StatusOK && !response.Close:
+		d.t.Errorf("%v: the response lets the caller stay", c)
+	case status == http.StatusBadGateway && sentAt >= lateTime && !strings.HasPrefix(c.target, "/read/"):
+		d.t.Errorf("%v got a failure that promises nothing", c)
+	case err != nil && sentAt < stopEnd-2*time.Second:
+		d.t.Errorf("%v got no answer: %v", c, err)
+	}
+}
+
+// callNext sends the request of a case and returns its response, if there is one.
+func (d *stopDay) callNext(caller *keptConn, c stopCase, id string) (*http.Response, int, error) {
+	header := "T-Id: " + id + "\r\n"
+	var response *http.Response
+	var err error
+	if c.isSplit {
+		fmt.Fprintf(caller, "POST %s HTTP/1.1\r\nHost: h\r\nT-Key: k\r\nT-Model: m\r\n%sTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", c.target, header)
+		time.Sleep(300 * time.Millisecond)
+		fmt.Fprint(caller, "2\r\ncd\r\n0\r\n\r\n")
+		response, _, err = caller.receive()
+	} else {
+		response, _, err = caller.call("POST", c.target, "x", header)
+	}
+	if response == nil {
+		return nil, 0, err
+	}
+	return response, response.StatusCode, err
+}
+
+// run plays the cases on a node that stops and then ends. It returns how many responses had
+// each status; 0 stands for none.
+func (d *stopDay) run(cases []stopCase) map[int]int {
+	server := drain.NewServer(&http.Server{Handler: d.h.front, ReadHeaderTimeout: time.Minute})
+	ended := &closingListener{pipeListener: d.conns}
+	go func() { _ = server.Serve(ended) }()
+	for _, target := range stopTargets { // The node learns how long they take.
+		if _, _, err := d.dial().call("POST", target, "x", "T-Id: x\r\n"); err != nil {
+			d.t.Errorf("%s: %v", target, err)
+		}
+	}
+	d.begin = time.Now().Add(time.Second)
+	var callers sync.WaitGroup
+	for i, c := range cases {
+		callers.Go(func() { d.play(c, fmt.Sprintf("id-%d", i)) })
+	}
+	time.Sleep(time.Until(d.begin))
+	d.h.front.BeginStop(Stop{SettledAt: d.begin.Add(settledTime), AnswerAt: d.begin.Add(stopAnswer)})
+	d.h.node.setDraining(true)
+	time.AfterFunc(stopAnswer, d.h.front.AnswerPending)
+	time.Sleep(stopLag)
+	ctx, cancel := context.WithDeadline(context.Background(), d.begin.Add(stopEnd))
+	defer cancel()
+	if err := server.Drain(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		d.t.Error(err)
+	}
+	ended.closeConns()
+	callers.Wait()
+	return d.statuses
+}
+
+// closingListener is a listener whose connections end with the process.
+type closingListener struct {
+	*pipeListener
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+func (l *closingListener) Accept() (net.Conn, error) {
+	c, err := l.pipeListener.Accept()
+	if err == nil {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.conns = append(l.conns, c)
+	}
+	return c, err
+}
+
+func (l *closingListener) closeConns() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.Close()
+	}
+}
+
+// TestStoppingNodeCutsOffNoRequest guards against requests that a stopping node takes on
+// connections that their callers keep, and that end with the process: the node knew that
+// they could not be complete by then.
+func TestStoppingNodeCutsOffNoRequest(t *testing.T) {
+	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+		routing := testRoutes("k")
+		routing.Services[1].Slots = 10_000
+		h.node.set(route.NewTable(routing), true)
+		for i, id := range []string{"a", "b", "c"} {
+			h.fleet.Put(ring.Server{ID: ring.VM(id), Service: "app", Address: id, Slots: 1000}, ring.Revision(100+i))
+		}
+		d := &stopDay{t: t, h: h, runs: map[string]int{}, statuses: map[int]int{}}
+		d.conns = &pipeListener{conns: make(chan net.Conn), done: make(chan struct{})}
+		h.handle = d.serve
+		var cases []stopCase
+		for at := 100 * time.Millisecond; at < stopEnd; at += 200 * time.Millisecond {
+			for i, target := range stopTargets {
+				cases = append(cases, stopCase{target: target, at: at + time.Duration(i)*10*time.Millisecond, isSplit: i%2 == 1})
+			}
+		}
+		statuses := d.run(cases)
+		is.True(statuses[http.StatusOK] > len(cases)/5)
+		is.True(statuses[http.StatusServiceUnavailable] > len(cases)/5)
+	})
+}
+
+// TestUploadIsAnsweredAtTheEndOfAStop guards against an upload that goes on until the process
+// ends: its caller would learn nothing. A caller that asks before a long upload is refused
+// at once.
+func TestUploadIsAnsweredAtTheEndOfAStop(t *testing.T) {
+	for _, header := range []string{"Content-Length: 100\r\n", "Content-Length: 100\r\nExpect: 100-continue\r\n", "Content-Length: 1000000\r\n"} {
+		withKeptConn(t, func(t *testing.T, is *is.I, h *frontHarness, c *keptConn) {
+			begin := time.Now()
+			h.front.BeginStop(Stop{SettledAt: begin, AnswerAt: begin.Add(time.Second)})
+			time.AfterFunc(time.Second, h.front.AnswerPending)
+			fmt.Fprintf(c, "POST /single/1 HTTP/1.1\r\nHost: h\r\nT-Key: k\r\nT-Id: id1\r\n%s\r\n", header)
+			if header == "Content-Length: 100\r\n" {
+				fmt.Fprint(c, "some of the body")
+			}
+			response, _, err := c.receive()
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(len(h.requests()), 0)
+			is.True(time.Since(begin) <= time.Second)
+			is.Equal(time.Since(begin) == 0, header != "Content-Length: 100\r\n")
+			time.Sleep(time.Second) // net/http waits before it closes a connection with unread bytes.
+		})
+	}
+}
