gateway: no stream begins after the pending requests were answered

What callers saw: nothing that could be told apart from the fault before; by reading, a stream whose first event comes as a stopping node gives up the requests without a response (0.9 s before its end) began with status 200 and broke off at once.

Cause: the stream called the function that exempts it, and did not look at its result, which says that the request has been given up already.

Evidence: TestStreamThatBeginsAsPendingRequestsAreAnswered calls AnswerPending as the first event is read. Without the check the response ends early; with it the caller gets a complete 502.

--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -324,8 +324,8 @@
 			if err := o.checkStreamEnd(ctx, x, chosen.Head, *streaming); err != nil {
 				return &attemptError{stage: stageSent, err: fmt.Errorf("stream broke: %w", err)}
 			}
-			if !o.started {
-				o.writeHeader(x)
+			if !o.started && !o.writeHeader(x) {
+				return &attemptError{stage: stageSent, err: errStopping}
 			}
 			o.extendWriteDeadline(time.Now()) // net/http writes the end of the stream.
 			if *streaming {
@@ -354,7 +354,9 @@
 			continue
 		}
 		if !o.started {
-			o.writeHeader(x)
+			if !o.writeHeader(x) {
+				return &attemptError{stage: stageSent, err: errStopping}
+			}
 			o.request.timeToFirstEvent = now.Sub(o.request.receivedAt)
 			if o.request.attempts == 1 {
 				o.front.config.Fleet.ObserveFirstEventTime(o.request.header.Model, now.Sub(o.request.sentAt)-o.request.expectedPrefill)
@@ -402,11 +404,18 @@
 	return hasLast && hasID && id <= lastID
 }
 
-// writeHeader sends the response header to the caller.
-func (o *replicaRelay) writeHeader(x *exchange) {
+// errStopping is the error of a response that comes after AnswerPending.
+var errStopping = errors.New("the node is stopping")
+
+// writeHeader sends the response header to the caller. It returns false and sends nothing if
+// AnswerPending was called before: the request gets a failure as its response.
+func (o *replicaRelay) writeHeader(x *exchange) bool {
+	if !o.request.outliveStop() {
+		return false
+	}
 	o.started = true
-	o.request.outliveStop()
 	o.front.writeHeader(o.w, o.request, x.response, streamLength)
+	return true
 }
 
 // writeEvent sends an event to the caller at once. If the caller is gone, it aborts the
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -263,6 +263,42 @@
 	})
 }
 
+// hookedConn calls onEvent right before it returns the first event of a stream.
+type hookedConn struct {
+	net.Conn
+	onEvent func()
+}
+
+// Read implements net.Conn.
+func (c *hookedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if strings.Contains(string(p[:n]), "data: ") {
+		c.onEvent()
+	}
+	return n, err
+}
+
+// TestStreamThatBeginsAsPendingRequestsAreAnswered guards against a stream whose first event
+// comes in the moment in which the node gives up the requests without a response: it began
+// with status 200 and broke off at once.
+func TestStreamThatBeginsAsPendingRequestsAreAnswered(t *testing.T) {
+	withKeptConn(t, func(t *testing.T, is *is.I, h *frontHarness, c *keptConn) {
+		dial := h.front.config.Dial
+		h.front.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			server, err := dial(ctx, network, address)
+			return &hookedConn{Conn: server, onEvent: h.front.AnswerPending}, err
+		}
+		h.handle = func(_ string, _ int, _ receivedRequest, s net.Conn) {
+			writeStream(s, 1, 1, "s")
+			time.Sleep(100 * time.Millisecond)
+			endStream(s)
+		}
+		response, _, err := c.call("POST", "/single/1", "x", "")
+		is.NoErr(err)
+		is.Equal(response.StatusCode, http.StatusBadGateway)
+	})
+}
+
 // TestUploadIsAnsweredAtTheEndOfAStop guards against an upload that goes on until the process
 // ends: its caller would learn nothing. A caller that asks before a long upload is refused
 // at once.
