gateway, event: requests that the end of the process cuts off are logged

What was missing: a request that a stop cut off left no line at all, so the users' record of lost requests names only others (attempts that the node itself gave up, whose lines come within 0.1 ms of each other).

Change: when a drain is over, one line (event 509) for each request under way, with its age, the time it had left and whether its response had begun. TestCutOffRequestsAreLogged.

--- a/cmd/eelgrassd/routed.go
+++ b/cmd/eelgrassd/routed.go
@@ -155,6 +155,7 @@
 			f.BeginStop(gateway.Stop{SettledAt: begin.Add(time.Duration(s.BalancerLag) + settleTime), AnswerAt: deadline.Add(-answerMargin)})
 			a.Drain()
 			err := drainCallers(callers, f.AnswerPending, time.Duration(s.BalancerLag), deadline)
+			f.LogCutOff()
 			cancel()
 			peers.Stop()
 			<-stopped
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -73,6 +73,7 @@
 	RequestDone              = Kind{506, "request done", slog.LevelInfo}
 	StreamResumed            = Kind{507, "stream resumed", slog.LevelInfo}    // a broken stream continues at another replica
 	LinesDropped             = Kind{508, "log lines dropped", slog.LevelWarn} // the log output was too slow
+	RequestCutOff            = Kind{509, "request cut off", slog.LevelWarn}   // the process ends while the request is under way
 )
 
 // Kinds returns all kinds of events, ordered by their numbers.
@@ -84,7 +85,7 @@
 		GroupRecordWritten, GroupRecordRejected, OrderSent, OrderFailed, OrderFenced, VMLeaving, CapacityChanged, GroupRecovered,
 		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused, RefusalDecided, ServerLimited, LimitUnreadable, RefusalEnded,
 		RequestFailed, AttemptFailed, ClaimOutcomeNotRecorded, StreamReplayed, ResponseMismatch,
-		RequestDone, StreamResumed, LinesDropped,
+		RequestDone, StreamResumed, LinesDropped, RequestCutOff,
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -246,6 +246,7 @@
 	}
 	f.closeIfDraining(w)
 	req.status = response.StatusCode
+	req.hasBegun.Store(true)
 	w.WriteHeader(response.StatusCode)
 }
 
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -114,6 +115,9 @@
 	stop        atomic.Pointer[Stop]
 	// durations estimates how long requests take.
 	durations *durations
+	// underWay holds the IDs of the requests that are being served.
+	underWayMu sync.Mutex
+	underWay   map[*frontRequest]string
 	// bodies bounds the memory for response bodies.
 	bodies *bodyMemory
 	// permits gets the permits for requests to servers with a rate limit. unreadable limits
@@ -137,6 +141,7 @@
 		stopping:    stopping,
 		endStopping: endStopping,
 		durations:   newDurations(),
+		underWay:    map[*frontRequest]string{},
 		budgets:     newRetryBudgets(retry.Config{Ratio: c.RetryRatio, Burst: c.RetryBurst, Window: retryWindow}, c.Node),
 		servers:     newServerStats(),
 		suspicion:   newSuspicion(),
@@ -211,6 +216,8 @@
 	// response begins, and returns false if AnswerPending was called first: the response
 	// must not begin then.
 	outliveStop func() bool
+	// hasBegun is set when the response begins.
+	hasBegun atomic.Bool
 }
 
 // ServeHTTP implements http.Handler.
@@ -235,6 +242,7 @@
 	if failure == nil {
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
+		defer f.markUnderWay(req)()
 		req.outliveStop = context.AfterFunc(f.stopping, cancel)
 		defer req.outliveStop()
 		f.budgets.budgetOf(req.service.Name).RecordRequest(time.Now())
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"log/slog"
 	"math/bits"
 	"sync"
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/event"
 )
 
 // Stop is the schedule of a node that shuts down. A node that runs on has the zero value.
@@ -51,6 +53,30 @@
 	return ring.FailRetryAt(ring.CodeOverloaded, now, "the node is stopping")
 }
 
+// LogCutOff logs the requests that are under way. It is called right before the process
+// ends, which cuts them off.
+func (f *Front) LogCutOff() {
+	f.underWayMu.Lock()
+	defer f.underWayMu.Unlock()
+	now := time.Now()
+	for req, id := range f.underWay {
+		f.config.Log.Write(event.RequestCutOff, slog.String("request", id), slog.Bool("begun", req.hasBegun.Load()),
+			slog.Int64("age_ms", now.Sub(req.receivedAt).Milliseconds()), slog.Int64("left_ms", req.deadline.Sub(now).Milliseconds()))
+	}
+}
+
+// markUnderWay records that a request is under way until the returned function is called.
+func (f *Front) markUnderWay(req *frontRequest) (end func()) {
+	f.underWayMu.Lock()
+	defer f.underWayMu.Unlock()
+	f.underWay[req] = req.header.ID
+	return func() {
+		f.underWayMu.Lock()
+		defer f.underWayMu.Unlock()
+		delete(f.underWay, req)
+	}
+}
+
 const (
 	// durationRise and durationFall are the weights of a sample above and below the
 	// estimate, so that most requests take no longer than the estimate.
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"strconv"
@@ -17,6 +19,7 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/drain"
+	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/route"
 )
 
@@ -322,3 +325,23 @@
 		})
 	}
 }
+
+// TestCutOffRequestsAreLogged guards against requests that end with the process and leave no
+// line in the log.
+func TestCutOffRequestsAreLogged(t *testing.T) {
+	withKeptConn(t, func(t *testing.T, is *is.I, h *frontHarness, c *keptConn) {
+		var lines bytes.Buffer
+		h.front.config.Log = event.NewLog(slog.New(slog.NewJSONHandler(&lines, nil)))
+		h.handle = func(_ string, _ int, _ receivedRequest, s net.Conn) {
+			writeStream(s, 1, 1, "s")
+			time.Sleep(time.Second)
+			endStream(s)
+		}
+		time.AfterFunc(500*time.Millisecond, h.front.LogCutOff)
+		_, _, err := c.call("POST", "/single/1", "x", "")
+		is.NoErr(err)
+		h.front.LogCutOff()
+		is.Equal(strings.Count(lines.String(), `"event":509`), 1)
+		is.True(strings.Contains(lines.String(), `"request":"id1","begun":true,"age_ms":500,"left_ms":7480`))
+	})
+}
