route, platform, gateway: an empty list of workspaces opens no route

Cause: whether keys are required was derived from the number of key holders, and the decoded configuration did not tell an empty list from a missing one.

The tests fail on the code before: TestKeysAreRequiredAfterTheLastOneWasRemoved, TestEmptyKeyListOpensNoRoute (200 where 401 is wanted, three cases), TestUnusableKeysAreUnknown.

Change: the adapter reports whether the field is there; null and [] require a key. Where no workspaces are declared, a request without a key runs and one with a key is refused, since the key may have been revoked. Empty keys and those of a workspace without a name are unknown.

--- a/internal/deployment/deployment_test.go
+++ b/internal/deployment/deployment_test.go
@@ -116,3 +116,15 @@
 	})
 	is.Equal(c.ModelNames(Application{Models: []ring.Model{"m"}}), []string{"m", "m:used"})
 }
+
+// TestConfigurationWithoutWorkspacesRefusesCallers guards against a configuration that lets
+// callers in because it declares no workspace or no application.
+func TestConfigurationWithoutWorkspacesRefusesCallers(t *testing.T) {
+	is := is.New(t)
+	for _, d := range []Document{{}, {Workspaces: []Workspace{}}, {Workspaces: []Workspace{{Name: "w"}}}} {
+		for _, key := range []string{"", "revoked"} {
+			_, ok := newConfiguration(d).Caller(key)
+			is.True(!ok)
+		}
+	}
+}
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -321,14 +321,14 @@
 	if !ok {
 		return ring.FailRetryAt(ring.CodeNoGroup, time.Now().Add(busyRetryAfter), "route %s has no configured service", found.Name)
 	}
-	if found.Public || !table.RequiresKey() {
+	if found.Public || (!table.RequiresKey() && req.header.Key == "") {
 		return nil
 	}
 	if !isConfirmed {
 		return unconfirmed
 	}
 	req.holder, ok = table.Holder(req.header.Key)
-	if !ok || req.header.Key == "" {
+	if !ok {
 		return ring.Fail(ring.CodeBadKey, "unknown API key")
 	}
 	return nil
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -394,6 +394,38 @@
 	})
 }
 
+// TestEmptyKeyListOpensNoRoute guards against requests that run without a valid key because
+// the last workspace was removed. Where no workspaces are declared, calls need no key, and one
+// with a key, which may have been revoked, is refused.
+func TestEmptyKeyListOpensNoRoute(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		requiresKey bool
+		holders     []ring.KeyHolder
+		key         string
+		status      int
+	}{
+		{"the last workspace is removed, revoked key", true, nil, "k", 401},
+		{"the last workspace is removed, no key", true, nil, "", 401},
+		{"the last key is removed, no key", true, []ring.KeyHolder{{Workspace: "lab"}}, "", 401},
+		{"an empty key, no key", true, []ring.KeyHolder{{Workspace: "lab", Keys: []string{""}}}, "", 401},
+		{"no workspaces declared, revoked key", false, nil, "k", 401},
+		{"no workspaces declared, no key", false, nil, "", 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+				h.handle = func(_ string, _ int, _ receivedRequest, s net.Conn) { respond(s, 200, "id1", "done") }
+				routing := testRoutes()
+				routing.RequiresKey, routing.KeyHolders = c.requiresKey, c.holders
+				h.node.set(route.NewTable(routing), true)
+				w, _ := h.call("POST", "/write/1", "x", "T-Key", c.key)
+				is.Equal(w.Code, c.status)
+				is.Equal(len(h.requests()) > 0, c.status == 200)
+			})
+		})
+	}
+}
+
 func TestRequestIsForwardedByteForByte(t *testing.T) {
 	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
 		h.handle = func(_ string, _ int, _ receivedRequest, c net.Conn) {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -38,7 +38,7 @@
 // NewTable builds the table from the routing part of a configuration.
 func NewTable(r *ring.Routing) *Table {
 	t := &Table{
-		number: r.Number, limits: r.Limits, routes: len(r.Routes), requiresKey: len(r.KeyHolders) > 0,
+		number: r.Number, limits: r.Limits, routes: len(r.Routes), requiresKey: r.RequiresKey || len(r.KeyHolders) > 0,
 		hosts:    map[string][]ring.Route{},
 		services: make(map[ring.Service]ring.RoutedService, len(r.Services)),
 		holders:  map[string]ring.KeyHolder{},
@@ -53,8 +53,13 @@
 		t.services[s.Name] = s
 	}
 	for _, h := range r.KeyHolders {
+		if h.Workspace == "" {
+			continue // Its calls could not be told from those of public routes.
+		}
 		for _, key := range h.Keys {
-			t.holders[key] = h
+			if key != "" {
+				t.holders[key] = h
+			}
 		}
 	}
 	return t
@@ -70,7 +75,7 @@
 func (t *Table) Routes() int { return t.routes }
 
 // RequiresKey reports whether calls to routes that are not public need a key. They
-// do if any key holder is declared, even if no holder has keys left.
+// do if key holders are declared, even if no holder or no key is left.
 func (t *Table) RequiresKey() bool { return t.requiresKey }
 
 // Find returns the host's route whose prefix is the longest that the path starts
@@ -90,7 +95,8 @@
 	return ring.Route{}, false
 }
 
-// Holder returns the workspace that holds the key, or false if the key is unknown.
+// Holder returns the workspace that holds the key, or false if the key is unknown. If
+// several hold it, the one that was declared last does.
 func (t *Table) Holder(key string) (ring.KeyHolder, bool) {
 	h, ok := t.holders[key]
 	return h, ok
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -80,9 +80,26 @@
 func TestKeysAreRequiredAfterTheLastOneWasRemoved(t *testing.T) {
 	is := is.New(t)
 	is.True(NewTable(&ring.Routing{KeyHolders: []ring.KeyHolder{{Workspace: "w"}}}).RequiresKey())
+	is.True(NewTable(&ring.Routing{RequiresKey: true}).RequiresKey())
 	is.True(!NewTable(&ring.Routing{}).RequiresKey())
 }
 
+// TestUnusableKeysAreUnknown guards against an empty key, or one of a workspace without a
+// name, that lets calls in: they would run as those of a public route.
+func TestUnusableKeysAreUnknown(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(&ring.Routing{KeyHolders: []ring.KeyHolder{
+		{Workspace: "", Keys: []string{"nameless"}}, {Workspace: "w", Keys: []string{"", "k", "both"}}, {Workspace: "x", Keys: []string{"both"}},
+	}})
+	for _, key := range []string{"", "nameless", "none"} {
+		_, ok := table.Holder(key)
+		is.True(!ok)
+	}
+	h, ok := table.Holder("both")
+	is.True(ok)
+	is.Equal(h.Workspace, ring.Workspace("x"))
+}
+
 func TestPickServiceFollowsTheWeights(t *testing.T) {
 	is := is.New(t)
 	r := ring.Route{TrafficSplit: []ring.WeightedService{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
--- a/route.go
+++ b/route.go
@@ -137,7 +137,11 @@
 	Number     int64
 	Routes     []Route
 	Services   []RoutedService
-	KeyHolders []KeyHolder
+	// RequiresKey is set if the configuration declares key holders, even none: calls to
+	// routes that are not public then need the key of one of them. Otherwise calls need no
+	// key, and one with a key is refused, because nobody holds it.
+	RequiresKey bool
+	KeyHolders  []KeyHolder
 	Limits     CallerLimits
 }
 
