gateway, platform: requests for a service whose last model was removed go to no server

Cause: the number of configured models decided between replicas and plain servers.

Change: the adapter reports whether the service runs models; without any, requests are refused.

--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -246,7 +246,7 @@
 		req.outliveStop = context.AfterFunc(f.stopping, cancel)
 		defer req.outliveStop()
 		f.budgets.budgetOf(req.service.Name).RecordRequest(time.Now())
-		if len(req.service.Models) > 0 {
+		if req.service.HasReplicas() {
 			failure = f.serveReplica(ctx, w, r, req)
 		} else {
 			failure = f.servePlain(ctx, w, req)
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -426,6 +426,23 @@
 	}
 }
 
+// TestServiceWithoutModelsGetsNoRequests guards against requests to servers outside of
+// replicas after a configuration has removed the last model of their service.
+func TestServiceWithoutModelsGetsNoRequests(t *testing.T) {
+	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+		h.handle = func(_ string, _ int, _ receivedRequest, s net.Conn) { respond(s, 200, "id1", "done") }
+		h.fleet.Put(ring.Server{ID: "spare", Service: "engine", Address: "spare", Slots: 4}, 100)
+		h.fleet.Remove("e1", 101)
+		h.fleet.Remove("e2", 102)
+		routing := testRoutes("k")
+		routing.Services[1].RunsModels, routing.Services[1].Models = true, nil
+		h.node.set(route.NewTable(routing), true)
+		w, _ := h.call("POST", "/draft/1", "x")
+		is.Equal(w.Code, 503)
+		is.Equal(len(h.requests()), 0)
+	})
+}
+
 func TestRequestIsForwardedByteForByte(t *testing.T) {
 	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
 		h.handle = func(_ string, _ int, _ receivedRequest, c net.Conn) {
--- a/internal/gateway/frontexplain.go
+++ b/internal/gateway/frontexplain.go
@@ -29,7 +29,7 @@
 		switch {
 		case !ok:
 			return refusedExplanation(ring.CodeNoGroup, fmt.Sprintf("route %s has no configured service", found.Name))
-		case len(service.Models) > 0:
+		case service.HasReplicas():
 			f.explainReplicas(&out, service, model)
 		default:
 			f.explainServers(&out, service)
--- a/internal/gateway/retrybudgets.go
+++ b/internal/gateway/retrybudgets.go
@@ -73,7 +73,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	switch {
-	case len(s.Models) == 0:
+	case !s.HasReplicas():
 		return nil
 	case b.sharedService == "":
 		b.sharedService, b.isOnlyService = s.Name, true
--- a/route.go
+++ b/route.go
@@ -103,8 +103,10 @@
 	MaxConnections int
 	// HealthPath is the path of a server's health check.
 	HealthPath string
-	// Models is empty for a plain service, which runs no models.
-	Models []ReplicaModel
+	// RunsModels is set if the service's servers form replicas. Its calls are sent to
+	// replicas only, even if no model is configured.
+	RunsModels bool
+	Models     []ReplicaModel
 	Rates  EngineRates
 	// Slots is how many requests a replica runs at a time.
 	Slots int
@@ -114,6 +116,10 @@
 	LoadsAtOnce    int
 }
 
+// HasReplicas reports whether calls go to replicas of the service's models. A plain service
+// runs no models.
+func (s RoutedService) HasReplicas() bool { return s.RunsModels || len(s.Models) > 0 }
+
 // KeyHolder is a workspace with its bearer keys.
 type KeyHolder struct {
 	Workspace Workspace
