eelgrassd: a SIGTERM while the node starts stops it in order

What callers would see: a node that gets SIGTERM after its listeners are open and before its start is complete ends at once, with the requests that it has taken.

Cause: fx receives signals only once the application has started; until then the signal has its default effect. Shown with a program of its own whose OnStart hook sends SIGTERM: it ended by the signal; with Done called first it stopped. TestTerminationWhileTheNodeStarts failed before (the signal was not received); it also sends a second SIGTERM during the stop.

--- a/cmd/eelgrassd/app.go
+++ b/cmd/eelgrassd/app.go
@@ -40,10 +40,16 @@
 // runDeclared runs a node whose configuration declares the VMs and the groups. path
 // is the settings file.
 func runDeclared(s settings.Settings, path string) error {
-	app := declaredApp(s, path)
+	return runApp(declaredApp(s, path))
+}
+
+// runApp runs an application until it is told to stop. A SIGTERM that comes while it starts
+// stops it too: its listeners may have taken requests already.
+func runApp(app *fx.App) error {
 	if err := app.Err(); err != nil {
 		return err
 	}
+	_ = app.Done() // Starts to receive signals, which Run does only once the application has started.
 	app.Run()
 	return nil
 }
--- a/cmd/eelgrassd/routed.go
+++ b/cmd/eelgrassd/routed.go
@@ -67,7 +67,7 @@
 	if s.MemoryLimitMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryLimitMB<<20)))
 	}
-	app := fx.New(
+	return runApp(fx.New(
 		fx.Supply(s),
 		fx.Provide(newIncarnation, newLog, newPlatformStore, fleet.New, newSuspects, newAgent, metric.New, newRoutedGateway),
 		fx.Invoke(func(l fx.Lifecycle, stop fx.Shutdowner, a *agent.Agent, fl *fleet.Fleet, f *gateway.Front, suspects *suspect.Registry, m *metric.Registry, log *event.Log) {
@@ -76,12 +76,7 @@
 		}),
 		fx.StopTimeout(time.Duration(s.DrainTimeout)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-	)
-	if err := app.Err(); err != nil {
-		return err
-	}
-	app.Run()
-	return nil
+	))
 }
 
 // newPlatformStore returns a client of the platform's key-value service.
--- a/cmd/eelgrassd/routed_test.go
+++ b/cmd/eelgrassd/routed_test.go
@@ -8,6 +8,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -98,3 +100,39 @@
 	lines.Close()
 	is.NoErr(app.Stop(context.Background()))
 }
+
+// TestTerminationWhileTheNodeStarts guards against a node that a SIGTERM ends at once, with
+// the requests that it has taken, because the signal comes between the opening of its
+// listeners and the end of its start. Further signals do not end the shutdown early.
+func TestTerminationWhileTheNodeStarts(t *testing.T) {
+	is := is.New(t)
+	// If the application does not receive the signals, they must not end the test.
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	terminate := func() {
+		if err := syscall.Kill(syscall.Getpid(), syscall.SIGTERM); err != nil {
+			t.Error(err)
+		}
+		<-signals
+	}
+	hasStopped := make(chan struct{})
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Invoke(func(l fx.Lifecycle) {
+			l.Append(fx.StartStopHook(terminate, func() {
+				terminate()
+				close(hasStopped)
+			}))
+		}),
+	)
+	result := make(chan error, 1)
+	go func() { result <- runApp(app) }()
+	select {
+	case err := <-result:
+		is.NoErr(err)
+		<-hasStopped
+	case <-time.After(10 * time.Second):
+		t.Fatal("the application did not receive the signal")
+	}
+}
