drain, eelgrassd: one way to close callers' connections at a stop

Both kinds of nodes closed connections in a way of their own, and each lacked what the other had. internal/drain closed a connection whose request had arrived and was not read, so that its caller got a reset; cmd/eelgrassd/connections.go did not close a connection whose caller sends at once. The drain now interrupts the goroutine that waits for the next request, which finds out itself whether one has arrived, and both nodes use it.

--- a/cmd/eelgrassd/app.go
+++ b/cmd/eelgrassd/app.go
@@ -18,6 +18,7 @@
 	"eelgrassring.dev/internal/admin"
 	"eelgrassring.dev/internal/claim"
 	"eelgrassring.dev/internal/clock"
+	"eelgrassring.dev/internal/drain"
 	"eelgrassring.dev/internal/engine"
 	"eelgrassring.dev/internal/etcd"
 	"eelgrassring.dev/internal/event"
@@ -137,7 +138,7 @@
 
 // nodeServers contains the servers of one node, one per listen address.
 type nodeServers struct {
-	callers *callerServer
+	callers *drain.Server
 	admin   *http.Server
 	peers   *grpc.Server
 }
@@ -147,7 +148,7 @@
 func serveDeclared(l fx.Lifecycle, s settings.Settings, n *node.Node, ledger *claim.Ledger, g *gateway.Server, a *admin.Server, log *event.Log) {
 	ctx, cancel := context.WithCancel(context.Background())
 	servers := &nodeServers{
-		callers: newCallerServer(&http.Server{Handler: g.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}),
+		callers: drain.NewServer(&http.Server{Handler: g.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}),
 		admin:   &http.Server{Handler: a.Handler(), ReadHeaderTimeout: 10 * time.Second},
 		peers:   peer.NewServer(),
 	}
@@ -170,7 +171,7 @@
 			// The load balancer notices the failed readiness late: keep
 			// accepting connections until then.
 			time.Sleep(time.Duration(s.BalancerLag))
-			err := servers.callers.Shutdown(stop)
+			err := servers.callers.Drain(stop)
 			g.WaitSettled(stop)
 			cancel()
 			<-stopped
--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -11,7 +11,9 @@
 //
 // Invariants:
 //
-//   - Once the drain has closed a connection, no request from it reaches the handler.
+//   - A request whose bytes had arrived when the drain decided to close its connection is
+//     served: the goroutine that waits for the next request is interrupted and itself finds
+//     out whether one has arrived, so that none comes between the check and the close.
 //   - A busy connection is closed only after its response, or with the process.
 //   - A request that its caller sends within nextRequestGrace after a response reaches the
 //     handler.
@@ -20,10 +22,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -51,11 +56,8 @@
 	conns    map[*conn]struct{}
 }
 
-// connKey is the key of a request's conn in its context.
-type connKey struct{}
-
-// NewServer returns a server with the settings of s, which it changes. The fields
-// ConnState and ConnContext of s must not be set.
+// NewServer returns a server with the settings of s, which it changes. The field
+// ConnState of s must not be set.
 func NewServer(s *http.Server) *Server {
 	out := &Server{http: s, stopped: make(chan struct{}), conns: map[*conn]struct{}{}}
 	s.Handler = out.closeAfterResponse(s.Handler)
@@ -64,20 +66,13 @@
 			own.recordState(state)
 		}
 	}
-	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
-		return context.WithValue(ctx, connKey{}, c)
-	}
 	return out
 }
 
-// closeAfterResponse returns a handler that passes to next no request from a connection
-// that the drain has closed, since its response would reach nobody. The response to a
-// request that comes during the drain is the last one on its connection.
+// closeAfterResponse returns a handler that makes the response to a request that comes
+// during the drain the last one on its connection.
 func (s *Server) closeAfterResponse(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.isClosed() {
-			panic(http.ErrAbortHandler)
-		}
 		if s.isDraining.Load() {
 			w.Header().Set("Connection", "close")
 		}
@@ -126,8 +121,8 @@
 	}
 }
 
-// closeIdle closes the connections that have been idle for nextRequestGrace, except new
-// ones if keepNew is set. It returns the number of connections that are left.
+// closeIdle makes the connections close that have been idle for nextRequestGrace, except
+// new ones if keepNew is set. It returns the number of connections that are left.
 func (s *Server) closeIdle(now time.Time, keepNew bool) int {
 	for _, c := range s.openConns() {
 		c.closeIfIdle(now, keepNew)
@@ -176,23 +171,84 @@
 	isBusy bool
 	// idleSince is when the last response was complete.
 	idleSince time.Time
-	// isDrained is set when the drain has closed the connection. Bytes that were read
-	// since are discarded.
-	isDrained bool
+	// readDeadline is what net/http has set. While isClosing is set, reads fail at once
+	// instead, and the connection ends unless a request has arrived.
+	readDeadline time.Time
+	isClosing    bool
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDeadline = t
+	if c.isClosing {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. If the drain closes the connection, it returns io.EOF, which
+// makes net/http close it, unless bytes of the next request have arrived.
 func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
+	for {
+		n, err := c.Conn.Read(b)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			n, err = c.readArrived(b, err)
+			if n == 0 && err == nil {
+				continue // A request is being read: the connection stays.
+			}
+		}
+		c.mu.Lock()
+		if n > 0 {
+			c.isBusy, c.isNew = true, false
+			c.stopClosing()
+		}
+		c.mu.Unlock()
+		return n, err
+	}
+}
+
+// readArrived returns what has arrived when a read ended with err, or io.EOF if the drain
+// closes the connection. If a request is being read, it returns 0 and nil.
+func (c *conn) readArrived(b []byte, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isDrained {
-		return 0, net.ErrClosed
+	switch {
+	case !c.isClosing:
+		return 0, err
+	case c.isBusy:
+		c.stopClosing()
+		return 0, nil
+	}
+	if n := readNow(c.Conn, b); n > 0 {
+		return n, nil
+	}
+	return 0, io.EOF
+}
+
+// readNow reads what a connection holds without waiting. It returns 0 if there is nothing,
+// or if the connection cannot tell.
+func readNow(c net.Conn, b []byte) int {
+	holder, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := holder.SyscallConn()
+	if err != nil {
+		return 0
 	}
-	if n > 0 {
-		c.isBusy, c.isNew = true, false
+	n := 0
+	_ = raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), b) })
+	return max(n, 0)
+}
+
+// stopClosing undoes closeIfIdle; mu is held.
+func (c *conn) stopClosing() {
+	if c.isClosing {
+		c.isClosing = false
+		_ = c.Conn.SetReadDeadline(c.readDeadline)
 	}
-	return n, err
 }
 
 // Close implements net.Conn.
@@ -224,21 +280,14 @@
 	}
 }
 
-// closeIfIdle closes the connection if it has been idle for nextRequestGrace and, with
+// closeIfIdle makes the connection close if it has been idle for nextRequestGrace and, with
 // keepNew, is not new.
 func (c *conn) closeIfIdle(now time.Time, keepNew bool) {
-	c.mu.Lock()
-	keep := c.isBusy || (c.isNew && keepNew) || now.Sub(c.idleSince) < nextRequestGrace
-	c.isDrained = c.isDrained || !keep
-	c.mu.Unlock()
-	if !keep {
-		_ = c.Close()
-	}
-}
-
-// isClosed reports whether the drain has closed the connection.
-func (c *conn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.isDrained
+	if c.isBusy || c.isClosing || (c.isNew && keepNew) || now.Sub(c.idleSince) < nextRequestGrace {
+		return
+	}
+	c.isClosing = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 }
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -316,3 +316,48 @@
 		})
 	}
 }
+
+// TestDrainServesArrivedRequests guards against cutting off requests on connections that
+// a caller keeps: they have arrived, but the server has not read them when the drain closes
+// the connections, which have been idle for a while.
+func TestDrainServesArrivedRequests(t *testing.T) {
+	t.Parallel()
+	const rounds, callers = 10, 100
+	is := is.New(t)
+	for range rounds {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		h := newHarness(t, nil, l)
+		conns := make([]*caller, callers)
+		for i := range conns {
+			conns[i] = h.dial(t)
+			conns[i].send(t, request("before"))
+			is.Equal(conns[i].receive(t), "before")
+		}
+		time.Sleep(nextRequestGrace + 10*time.Millisecond)
+		for _, c := range conns {
+			c.send(t, request("hello"))
+		}
+		drained := h.startDrain()
+		for _, c := range conns {
+			is.Equal(c.receive(t), "hello")
+			c.Close()
+		}
+		is.NoErr(<-drained)
+	}
+}
+
+// TestDrainClosesIdleConnections guards against a drain that waits for a connection without
+// a request, or for one whose caller is idle.
+func TestDrainClosesIdleConnections(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	h := newHarness(t, nil, l)
+	h.dial(t)
+	c := h.dial(t)
+	c.send(t, request("hello"))
+	is.Equal(c.receive(t), "hello")
+	is.NoErr(<-h.startDrain())
+}
