mirror, agent, gateway: no call leaves a package while it holds a lock

It took one read of GET /status while a changed configuration was decoded.

Cause: the agent held its lock while it asked a mirror for its state, and the mirror held its own while it reported a change, of which the agent took its lock. Each request needs the agent's lock, so all of them waited.

TestReportsHoldNoLock failed before: the mirror's lock was held during OnChange and OnSync.

Change: a mirror decides under its lock what to report, and reports without it, one loop after the other. The agent, and what the front does with new refusals, call others without their locks. What each request needs (configuration, confirmation, readiness) is read without a lock.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -192,8 +192,6 @@
 	// while a fetch of a newer configuration from a peer is scheduled or running.
 	activeConfig     atomic.Pointer[configuration]
 	isFetchingConfig atomic.Bool
-	// activateMu serializes the activation of configurations.
-	activateMu sync.Mutex
 	// These mirrors follow the routing configuration, the server registry and the
 	// state prefix in the store.
 	routingMirror *mirror.Mirror
@@ -226,10 +224,14 @@
 	// echoClock makes and reads this node's stamps.
 	echoClock echo.Clock
 
+	// confirmed is the confirmation, as defined in the package comment, or nil. Like the
+	// active configuration, it is read by each request, without a lock.
+	confirmed atomic.Pointer[confirmation]
+	// stall says whether the agent's state moves.
+	stall stallWatch
+
 	// mu guards the fields below.
 	mu sync.Mutex
-	// confirmed is the confirmation, as defined in the package comment.
-	confirmed confirmation
 	// echoes holds the stamps of the peers.
 	echoes echo.Peers
 	// storedConfig is the newest value of the routing configuration that this node has read
@@ -349,10 +351,10 @@
 func (a *Agent) IsController() bool { return a.isController.Load() }
 
 // IsReady reports whether the node can serve new connections: it has a recently
-// confirmed configuration and is not draining.
+// confirmed configuration, is not draining, and its state moves. It takes no lock.
 func (a *Agent) IsReady() bool {
 	table := a.Routing()
-	return table != nil && a.MayAcceptAPIKeys(table.Number()) && !a.draining.Load()
+	return table != nil && a.MayAcceptAPIKeys(table.Number()) && !a.draining.Load() && !a.stall.isStalled.Load()
 }
 
 // NodeCount returns the number of live nodes, including this one.
@@ -380,8 +382,9 @@
 // configuration.
 func (a *Agent) IsStoreUp() bool {
 	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.routingMirror != nil && a.routingMirror.IsStoreUp()
+	routing := a.routingMirror
+	a.mu.Unlock()
+	return routing != nil && routing.IsStoreUp()
 }
 
 // PeerState is the state of another node as this node knows it. Age is the time since
@@ -432,7 +435,7 @@
 		},
 	})
 	for _, loop := range []func(context.Context){
-		a.routingMirror.Run, a.serversMirror.Run, a.stateMirror.Run, a.runMembershipLoop, a.runDigestLoop, elector.Run,
+		a.routingMirror.Run, a.serversMirror.Run, a.stateMirror.Run, a.runMembershipLoop, a.runDigestLoop, elector.Run, a.runStallWatch,
 	} {
 		wait.Go(func() { loop(ctx) })
 	}
@@ -451,7 +454,7 @@
 		Prefix: a.config.Directory.ServerPrefix(), ResyncInterval: t.ResyncInterval, GracePeriod: t.GracePeriod, RestoreGrace: t.RestoreGrace, OnChange: a.applyServerChange, HasPeerFeed: a.rootSendsRegistry, OnSync: a.recordServersListed,
 	})
 	state = a.newMirror(mirror.Config{
-		Prefix: catalog.StatePrefix, ResyncInterval: t.ResyncInterval, RestoreGrace: t.RestoreGrace, ReportsAtOnce: func(key string) bool { return key == catalog.ControllerKey }, OnChange: a.applyStateChange, OnSync: func(clock.Instant, []ring.Entry) { a.recordStateListed() }, HasPeerFeed: a.canSkipStateWatch,
+		Prefix: catalog.StatePrefix, ResyncInterval: t.ResyncInterval, RestoreGrace: t.RestoreGrace, ReportsAtOnce: catalog.ControllerKey, OnChange: a.applyStateChange, OnSync: func(clock.Instant, []ring.Entry) { a.recordStateListed() }, HasPeerFeed: a.canSkipStateWatch,
 	})
 	return routing, servers, state
 }
--- a/internal/agent/confirmation.go
+++ b/internal/agent/confirmation.go
@@ -37,10 +37,8 @@
 // ConfirmedAge returns how long ago the active configuration was last known to be
 // the newest one. The bool is false if that was never known.
 func (a *Agent) ConfirmedAge() (time.Duration, bool) {
-	a.mu.Lock()
-	confirmed := a.confirmed
-	a.mu.Unlock()
-	if confirmed.at.IsZero() {
+	confirmed := a.confirmed.Load()
+	if confirmed == nil {
 		return 0, false
 	}
 	return confirmed.at.Age(), true
@@ -51,10 +49,8 @@
 // The number is that of the configuration in which the caller looks a key up. It may have
 // been replaced by now, and a confirmation of its successor says nothing of its keys.
 func (a *Agent) MayAcceptAPIKeys(number int64) bool {
-	a.mu.Lock()
-	confirmed := a.confirmed
-	a.mu.Unlock()
-	if confirmed.at.IsZero() || number < confirmed.number {
+	confirmed := a.confirmed.Load()
+	if confirmed == nil || number < confirmed.number {
 		return false
 	}
 	age := confirmed.at.Age()
@@ -83,18 +79,29 @@
 	if !restoredAt.IsZero() && readStart.Age() > time.Since(restoredAt)-a.config.Timing.RestoreGrace {
 		return
 	}
-	a.mu.Lock()
-	before := a.confirmed.at
-	isLater := before.IsZero() || readStart.Age() < before.Age()
-	if isLater {
-		a.confirmed = confirmation{number: number, at: readStart}
-	}
-	a.mu.Unlock()
+	before, isLater := a.replaceConfirmation(&confirmation{number: number, at: readStart})
 	if isLater && (before.IsZero() || before.Age() > confirmationGap) {
 		a.logConfirmation(number, readStart.Age(), before, from)
 	}
 }
 
+// replaceConfirmation makes next the confirmation if it is later than the one before. It
+// returns when that was, or zero.
+func (a *Agent) replaceConfirmation(next *confirmation) (before clock.Instant, isLater bool) {
+	for {
+		confirmed := a.confirmed.Load()
+		if confirmed != nil {
+			before = confirmed.at
+		}
+		if !before.IsZero() && next.at.Age() >= before.Age() {
+			return before, false
+		}
+		if a.confirmed.CompareAndSwap(confirmed, next) {
+			return before, true
+		}
+	}
+}
+
 // logConfirmation logs a confirmation of the given age that ends a gap: the one before was
 // old, or there was none.
 func (a *Agent) logConfirmation(number int64, age time.Duration, before clock.Instant, from string) {
@@ -145,11 +152,14 @@
 		out.Stamp = uint64(a.echoClock.Stamp(now))
 	}
 	arrival, ok := a.echoes.Last(address, now)
-	confirmed := a.confirmed
 	a.mu.Unlock()
 	if !ok {
 		return out
 	}
+	confirmed := confirmation{}
+	if c := a.confirmed.Load(); c != nil {
+		confirmed = *c
+	}
 	out.Echo = uint64(arrival.Stamp)
 	out.ConfirmedNumber, out.ConfirmedLagMillis = confirmed.number, a.lagMillis(confirmed.at, arrival)
 	out.RegistryLagMillis = a.lagMillis(registryAt, arrival)
--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -249,9 +249,11 @@
 func (a *Agent) answerEntriesRequest(to string, r *digest.EntriesRequest) {
 	own := a.registryChecksums()
 	isRoot := a.isController.Load()
+	newest := a.fleet.NewestRevision()
 	a.mu.Lock()
-	root, newest := a.tree.rootChecksums, max(a.tree.listedRevision, a.fleet.NewestRevision())
+	root, listed := a.tree.rootChecksums, a.tree.listedRevision
 	a.mu.Unlock()
+	newest = max(newest, listed)
 	if isRoot && !a.hasFullRegistry.Load() {
 		return
 	}
--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -112,16 +112,13 @@
 		a.log.Write(event.ConfigurationInvalid, slog.Any("error", err), slog.String("from", from))
 		return 0, false
 	}
-	a.activateMu.Lock()
-	defer a.activateMu.Unlock()
-	active := a.Routing()
-	if active != nil && declared.Number <= active.Number() {
-		if declared.Number < active.Number() {
-			a.log.Write(event.ConfigurationOutdated, slog.Int64("number", declared.Number), slog.Int64("in_force", active.Number()))
-		}
+	active := a.activateIfNewer(declared, text)
+	if declared.Number < active {
+		a.log.Write(event.ConfigurationOutdated, slog.Int64("number", declared.Number), slog.Int64("in_force", active))
+	}
+	if declared.Number <= active {
 		return declared.Number, true
 	}
-	a.activeConfig.Store(&configuration{table: route.NewTable(declared), text: text})
 	a.log.Write(event.ConfigurationActivated, slog.Int64("number", declared.Number), slog.Int("routes", len(declared.Routes)), slog.String("from", from))
 	a.SendDigestSoon()
 	if _, confirmed := a.ConfirmedAge(); !confirmed {
@@ -130,6 +127,28 @@
 	return declared.Number, true
 }
 
+// activateIfNewer makes a configuration the active one if its number is larger than that of
+// the one before, which it returns; 0 if there was none.
+func (a *Agent) activateIfNewer(declared *ring.Routing, text []byte) (before int64) {
+	var next *configuration
+	for {
+		active := a.activeConfig.Load()
+		if active != nil && declared.Number <= active.table.Number() {
+			return active.table.Number()
+		}
+		if next == nil {
+			next = &configuration{table: route.NewTable(declared), text: text}
+		}
+		if !a.activeConfig.CompareAndSwap(active, next) {
+			continue
+		}
+		if active == nil {
+			return 0
+		}
+		return active.table.Number()
+	}
+}
+
 // recordRoutingRead records a read of the routing configuration from the store. It confirms
 // the active configuration if the store holds it; the value may be missing, not readable, or
 // older after a restore. While the registry is watched, the read also shows that the store is
@@ -261,17 +280,19 @@
 	if !ok || name == a.config.Name {
 		return
 	}
+	var m memberRecord
+	if !c.Deleted {
+		if err := json.Unmarshal(c.Entry.Value, &m); err != nil {
+			a.log.Write(event.PeerRecordInvalid, slog.String("peer", name), slog.Any("error", err))
+			return
+		}
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if c.Deleted {
 		delete(a.peers, name)
 		return
 	}
-	var m memberRecord
-	if err := json.Unmarshal(c.Entry.Value, &m); err != nil {
-		a.log.Write(event.PeerRecordInvalid, slog.String("peer", name), slog.Any("error", err))
-		return
-	}
 	if p, known := a.peers[name]; known {
 		p.address = m.Address
 		return
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -24,6 +24,8 @@
 	Draining                 = Kind{102, "draining", slog.LevelInfo}
 	Stopped                  = Kind{103, "stopped", slog.LevelInfo}
 	SettingsChecked          = Kind{104, "settings checked", slog.LevelInfo}
+	StateStalled             = Kind{105, "state stalled", slog.LevelError} // a goroutine holds a lock and does not go on; the node is not ready
+	StateMoves               = Kind{106, "state moves again", slog.LevelWarn}
 	StoreDisconnected        = Kind{201, "disconnected from the store", slog.LevelWarn}
 	StoreConnected           = Kind{202, "connected to the store", slog.LevelInfo}
 	ConfigurationActivated   = Kind{203, "configuration activated", slog.LevelInfo}
@@ -79,7 +81,7 @@
 // Kinds returns all kinds of events, ordered by their numbers.
 func Kinds() []Kind {
 	return []Kind{
-		Started, Draining, Stopped, SettingsChecked,
+		Started, Draining, Stopped, SettingsChecked, StateStalled, StateMoves,
 		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored, ConfigurationConfirmed, KeysNotAccepted, KeysAccepted, VMListIncomplete,
 		PeerFound, PeerLost, ControllerLeaseAcquired, ControllerLeaseLost, MembershipLeaseLost, PeerRecordInvalid, DigestNotSent, ConfigurationFetchFailed,
 		GroupRecordWritten, GroupRecordRejected, OrderSent, OrderFailed, OrderFenced, VMLeaving, CapacityChanged, GroupRecovered,
--- a/internal/gateway/frontsuspect.go
+++ b/internal/gateway/frontsuspect.go
@@ -97,43 +97,21 @@
 	}
 }
 
-// applyDecisions logs refusals that are new, tells the peers of them, and gives up the
-// attempts that they hold for and whose response has not begun.
+// applyDecisions logs refusals that are new or have ended, tells the peers of the new ones,
+// and gives up the attempts that they hold for and whose response has not begun.
 func (f *Front) applyDecisions() {
 	refusals, decisions := f.config.Suspects.Decide(time.Now())
-	s := f.suspicion
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.decisions == decisions {
-		return
-	}
-	s.decisions = decisions
-	isNew, isOwn := false, false
-	known := map[string][]suspect.Digest{}
-	for _, r := range refusals {
-		key := subjectsKey(r.Subjects)
-		known[key] = r.Subjects
-		if s.logged[key] == nil {
-			isNew, isOwn = true, isOwn || !r.IsAdopted
-			f.config.Log.Write(event.RefusalDecided, slog.Any("subjects", r.Subjects), slog.Any("servers", r.Servers), slog.Duration("after", r.DecidedAt.Sub(r.Since)), slog.Bool("adopted", r.IsAdopted))
-		}
-	}
-	for key, subjects := range s.logged {
-		if known[key] == nil {
-			f.config.Log.Write(event.RefusalEnded, slog.Any("subjects", subjects))
-		}
+	change := f.suspicion.update(refusals, decisions)
+	for _, r := range change.begun {
+		f.config.Log.Write(event.RefusalDecided, slog.Any("subjects", r.Subjects), slog.Any("servers", r.Servers), slog.Duration("after", r.DecidedAt.Sub(r.Since)), slog.Bool("adopted", r.IsAdopted))
 	}
-	s.logged = known
-	if !isNew {
-		return
+	for _, subjects := range change.ended {
+		f.config.Log.Write(event.RefusalEnded, slog.Any("subjects", subjects))
 	}
-	if isOwn {
+	if slices.ContainsFunc(change.begun, func(r suspect.Refusal) bool { return !r.IsAdopted }) {
 		f.config.Node.AnnounceRefusals()
 	}
-	for fl := range s.flights {
-		if fl.hasEvents.Load() {
-			continue
-		}
+	for _, fl := range change.waiting {
 		subjects := fl.content.subjects()
 		if slices.ContainsFunc(refusals, func(r suspect.Refusal) bool { return r.Covers(subjects) }) {
 			fl.cancel(errRefusedMeanwhile)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"math/bits"
 	"sync"
 	"time"
@@ -57,9 +58,10 @@
 // ends, which cuts them off.
 func (f *Front) LogCutOff() {
 	f.underWayMu.Lock()
-	defer f.underWayMu.Unlock()
+	underWay := maps.Clone(f.underWay)
+	f.underWayMu.Unlock()
 	now := time.Now()
-	for req, id := range f.underWay {
+	for req, id := range underWay {
 		f.config.Log.Write(event.RequestCutOff, slog.String("request", id), slog.Bool("begun", req.hasBegun.Load()),
 			slog.Int64("age_ms", now.Sub(req.receivedAt).Milliseconds()), slog.Int64("left_ms", req.deadline.Sub(now).Milliseconds()))
 	}
--- a/internal/gateway/suspicion.go
+++ b/internal/gateway/suspicion.go
@@ -113,6 +113,46 @@
 	delete(s.trials, key)
 }
 
+// refusalChange is how the refusals have changed: those that have begun, the subjects of
+// those that have ended, and, if some have begun, the attempts without a response.
+type refusalChange struct {
+	begun   []suspect.Refusal
+	ended   [][]suspect.Digest
+	waiting []*flight
+}
+
+// update records the refusals of the registry's decisions with a number, and returns the
+// change since the last ones.
+func (s *suspicion) update(refusals []suspect.Refusal, decisions int) refusalChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := refusalChange{}
+	if s.decisions == decisions {
+		return out
+	}
+	s.decisions = decisions
+	known := map[string][]suspect.Digest{}
+	for _, r := range refusals {
+		key := subjectsKey(r.Subjects)
+		known[key] = r.Subjects
+		if s.logged[key] == nil {
+			out.begun = append(out.begun, r)
+		}
+	}
+	for key, subjects := range s.logged {
+		if known[key] == nil {
+			out.ended = append(out.ended, subjects)
+		}
+	}
+	s.logged = known
+	for fl := range s.flights {
+		if len(out.begun) > 0 && !fl.hasEvents.Load() {
+			out.waiting = append(out.waiting, fl)
+		}
+	}
+	return out
+}
+
 // subjectsKey returns a key for subjects.
 func subjectsKey(subjects []suspect.Digest) string {
 	var b strings.Builder
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -15,6 +15,9 @@
 // those of a later era are larger; a key that disappears around an outage or a restore
 // is reported as deleted, and one that a restore set back as changed, only if its
 // owner has not written it again by the end of the grace period.
+//
+// Locks: no function of Config is called while mu is held. The loops of Run report one
+// after the other, by the turn, which nothing else waits for.
 package mirror
 
 import (
@@ -49,9 +52,8 @@
 	GracePeriod  time.Duration
 	MinOutage    time.Duration
 	RestoreGrace time.Duration
-	// ReportsAtOnce reports whether the deletion of a key is never held back. If it is
-	// nil, every deletion may be.
-	ReportsAtOnce func(key string) bool
+	// ReportsAtOnce is the key whose deletion is never held back, if it is not empty.
+	ReportsAtOnce string
 	// OnChange is called for each change, OnConnectionChange when calls to the store
 	// begin to fail or succeed again. Both are called from several goroutines; calls
 	// of OnChange never overlap.
@@ -70,6 +72,8 @@
 // to Config.OnChange.
 type Mirror struct {
 	config Config
+	// turn holds an element while a loop decides what to report and reports it.
+	turn chan struct{}
 
 	mu sync.Mutex
 	// revisions holds the last revision of each key that was reported or learned.
@@ -96,7 +100,7 @@
 
 // New returns a mirror; Run starts it.
 func New(c Config) *Mirror {
-	return &Mirror{config: c, revisions: map[string]ring.Revision{}, pendingDeletions: map[string]ring.Change{}, setbacks: map[string]ring.Change{}, isStoreUp: true, syncRequested: make(chan struct{}, 1)}
+	return &Mirror{config: c, turn: make(chan struct{}, 1), revisions: map[string]ring.Revision{}, pendingDeletions: map[string]ring.Change{}, setbacks: map[string]ring.Change{}, isStoreUp: true, syncRequested: make(chan struct{}, 1)}
 }
 
 // Run watches the prefix and reports changes until the context ends.
@@ -262,39 +266,61 @@
 	if err != nil {
 		return 0, false
 	}
+	m.takeTurn()
+	defer m.endTurn()
+	m.report(m.applyListing(entries, revision, m.config.Store.Era().ChangedAt, now))
+	if m.config.OnSync != nil {
+		m.config.OnSync(start, entries)
+	}
+	return revision, true
+}
+
+// takeTurn waits until no other loop reports, and endTurn lets the next one do so.
+func (m *Mirror) takeTurn() { m.turn <- struct{}{} }
+
+func (m *Mirror) endTurn() { <-m.turn }
+
+// report calls OnChange for each change. The caller has the turn and does not hold mu.
+func (m *Mirror) report(changes []ring.Change) {
+	for _, c := range changes {
+		m.config.OnChange(c)
+	}
+}
+
+// applyListing returns the differences of a listing from the keys known so far. restoredAt
+// is when the client of the store learned of the last restore.
+func (m *Mirror) applyListing(entries []ring.Entry, revision ring.Revision, restoredAt, now time.Time) []ring.Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.noteEra(revision.Era())
+	m.noteEra(revision.Era(), restoredAt)
+	var out []ring.Change
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
 		if m.isRefreshPending && m.revisions[e.Key] == e.Modified {
-			m.config.OnChange(ring.Change{Entry: e})
+			out = append(out, ring.Change{Entry: e})
 			continue
 		}
 		if !m.holdSetback(ring.Change{Entry: e}, now) {
-			m.applyChange(ring.Change{Entry: e}, now)
+			out = m.applyChange(out, ring.Change{Entry: e}, now)
 		}
 	}
 	m.isRefreshPending = false
 	for key, modified := range m.revisions {
 		// A key written after the listing's revision exists, though it is not listed.
 		if !listed[key] && modified <= revision {
-			m.applyChange(ring.Change{Entry: ring.Entry{Key: key, Modified: revision}, Deleted: true}, now)
+			out = m.applyChange(out, ring.Change{Entry: ring.Entry{Key: key, Modified: revision}, Deleted: true}, now)
 		}
 	}
-	if m.config.OnSync != nil {
-		m.config.OnSync(start, entries)
-	}
-	return revision, true
+	return out
 }
 
 // noteEra starts the grace period of a restore if a listing is of a later era than the
 // one before. The period counts from when the client of the store learned of the
 // restore, which may have been before this listing. mu is held.
-func (m *Mirror) noteEra(e ring.Era) {
+func (m *Mirror) noteEra(e ring.Era, restoredAt time.Time) {
 	if m.era != 0 && e > m.era {
-		if end := m.config.Store.Era().ChangedAt.Add(m.config.RestoreGrace); end.After(m.graceEnd) {
+		if end := restoredAt.Add(m.config.RestoreGrace); end.After(m.graceEnd) {
 			m.graceEnd = end
 		}
 	}
@@ -321,61 +347,75 @@
 // applyChanges reports a batch of changes from the watch.
 func (m *Mirror) applyChanges(c ring.Changes, now time.Time) {
 	m.recordCallResult(nil, now)
+	m.takeTurn()
+	defer m.endTurn()
+	m.report(m.applyAll(c.Changes, now))
+}
+
+// applyAll returns the changes to report of a batch.
+func (m *Mirror) applyAll(changes []ring.Change, now time.Time) []ring.Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, change := range c.Changes {
-		m.applyChange(change, now)
+	var out []ring.Change
+	for _, change := range changes {
+		out = m.applyChange(out, change, now)
 	}
+	return out
 }
 
-// applyChange reports a change, or does nothing if a newer change of the key is
+// applyChange appends a change to those to report, unless a newer change of the key is
 // known. A deletion during the grace period is held back until the period ends. mu is
 // held.
-func (m *Mirror) applyChange(c ring.Change, now time.Time) {
+func (m *Mirror) applyChange(out []ring.Change, c ring.Change, now time.Time) []ring.Change {
 	key := c.Entry.Key
 	delete(m.setbacks, key)
 	if !c.Deleted {
 		delete(m.pendingDeletions, key)
 		if m.revisions[key] >= c.Entry.Modified {
-			return
+			return out
 		}
 		m.revisions[key] = c.Entry.Modified
-		m.config.OnChange(c)
-		return
+		return append(out, c)
 	}
 	if _, known := m.revisions[key]; !known || m.revisions[key] > c.Entry.Modified {
-		return
+		return out
 	}
-	if now.Before(m.graceEnd) && (m.config.ReportsAtOnce == nil || !m.config.ReportsAtOnce(key)) {
+	if now.Before(m.graceEnd) && key != m.config.ReportsAtOnce {
 		m.pendingDeletions[key] = c
-		return
+		return out
 	}
-	m.reportDeletion(c)
-}
-
-// reportDeletion forgets a key and reports its deletion. mu is held.
-func (m *Mirror) reportDeletion(c ring.Change) {
-	delete(m.revisions, c.Entry.Key)
-	m.config.OnChange(c)
+	delete(m.revisions, key)
+	return append(out, c)
 }
 
 // endGracePeriod reports the held-back deletions and setbacks if the grace period has
 // ended. While the store is down it reports none.
 func (m *Mirror) endGracePeriod(now time.Time) {
+	m.takeTurn()
+	defer m.endTurn()
+	m.report(m.takeHeldBack(now))
+}
+
+// takeHeldBack returns the changes that were held back, if the grace period has ended and
+// the store is up.
+func (m *Mirror) takeHeldBack(now time.Time) []ring.Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if now.Before(m.graceEnd) || !m.isStoreUp {
-		return
+		return nil
 	}
+	var out []ring.Change
 	for key, c := range m.pendingDeletions {
 		delete(m.pendingDeletions, key)
 		if m.revisions[key] <= c.Entry.Modified {
-			m.reportDeletion(c)
+			delete(m.revisions, key)
+			out = append(out, c)
 		}
 	}
 	for _, c := range m.setbacks {
-		m.applyChange(c, now)
+		out = m.applyChange(out, c, now)
 	}
+	return out
 }
 
 // recordCallResult records the result of a call to the store; a nil err means
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -145,9 +145,11 @@
 	m := New(Config{OnChange: func(ring.Change) { reported++ }})
 	now := time.Now()
 	entry := func(at ring.Revision) ring.Entry { return ring.Entry{Key: "s/a", Modified: at} }
-	m.applyChange(ring.Change{Entry: entry(5)}, now)
-	m.applyChange(ring.Change{Entry: entry(4)}, now)                // a stale read
-	m.applyChange(ring.Change{Entry: entry(4), Deleted: true}, now) // a deletion before the last write
+	m.report(m.applyAll([]ring.Change{
+		{Entry: entry(5)},
+		{Entry: entry(4)},                // a stale read
+		{Entry: entry(4), Deleted: true}, // a deletion before the last write
+	}, now))
 	is.Equal(reported, 1)
 	is.Equal(m.revisions["s/a"], ring.Revision(5))
 }
@@ -261,3 +263,49 @@
 		is.True(f.hasKey("s/a"))
 	})
 }
+
+// TestReportsHoldNoLock guards against a deadlock of a node: a mirror that held its lock while
+// it reported a change, of which the receiver took its own lock, while another goroutine held
+// that lock and asked the mirror for its state.
+func TestReportsHoldNoLock(t *testing.T) {
+	keys := platform.NewKeyspace()
+	var m *Mirror
+	reported := map[string]bool{}
+	use := func(report string) {
+		done := make(chan struct{})
+		go func() {
+			m.IsStoreUp()
+			m.IsWatching()
+			m.Learn("s/other", 1)
+			m.Forget("s/other")
+			m.Refresh()
+			m.RequestSync()
+			close(done)
+		}()
+		select {
+		case <-done:
+			reported[report] = true
+		case <-time.After(5 * time.Second):
+			t.Errorf("the mirror holds its lock during %s", report)
+		}
+	}
+	store := fake.NewStore(keys)
+	m = New(Config{
+		Store: store, Prefix: "s/", BatchInterval: func() time.Duration { return time.Millisecond },
+		ResyncInterval: time.Hour, RetryInterval: time.Millisecond, MinOutage: time.Hour,
+		OnChange:           func(ring.Change) { use("OnChange") },
+		OnSync:             func(clock.Instant, []ring.Entry) { use("OnSync") },
+		OnConnectionChange: func(bool, error) { use("OnConnectionChange") },
+	})
+	f := &fixture{keys: keys, store: store, mirror: m}
+	f.put("s/a", false)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	m.sync(ctx)
+	m.applyChanges(ring.Changes{Changes: []ring.Change{{Entry: ring.Entry{Key: "s/b", Modified: 100}}}}, time.Now())
+	store.SetFault(platform.FaultDown)
+	m.sync(ctx)
+	if len(reported) != 3 {
+		t.Errorf("reported %v", reported)
+	}
+}
