gateway: a response without length is complete only if its server is alive afterwards

Cause: the node opened a connection after the end, and took the answer for complete if that succeeded. A process that ends closes its sockets one after the other, so the connection may still be accepted. For a leaving server there was no check.

Change: the node asks for the server's health after the end, until a response comes (complete), connections are refused (not complete), or 2.5 s are over (not complete). A sound server that is silent for a second or that resets a check keeps its answer; leaving or full ones do too. What can't be known: a server that breaks off an answer and lives on. Cost: one health check for each such answer.

Evidence: TestUnframedResponseNeedsALivingServer and TestUnframedStreamNeedsALivingServer fail before.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -175,15 +175,6 @@
 	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
 }
 
-// checkEnd returns an error if the end of a response shows only that its server has ended: the
-// response is unframed, and the server refuses connections.
-func (f *Front) checkEnd(ctx context.Context, x *exchange, server ring.Server) error {
-	if x.isUnframed() && f.hasEnded(ctx, server) {
-		return fmt.Errorf("the server has ended: %w", io.ErrUnexpectedEOF)
-	}
-	return nil
-}
-
 // readBody reads the body of the response, which may be used until close. It returns an
 // error if the body is too long.
 func (x *exchange) readBody() ([]byte, error) {
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -201,6 +201,8 @@
 	handle   func(server string, n int, r receivedRequest, c net.Conn)
 	// refused holds the servers that refuse connections.
 	refused map[string]bool
+	// health responds to a health check of a server; nil means that a server responds at once.
+	health func(server string, c net.Conn)
 	// starts counts the servers that have started again.
 	starts int
 	// conns waits for the servers' connections to end.
@@ -297,6 +299,10 @@
 	if err != nil {
 		return
 	}
+	if req.Header.Get("T-Id") == "" {
+		h.serveHealth(server, c)
+		return
+	}
 	line, _, _ := strings.Cut(raw.String(), "\r\n")
 	r := receivedRequest{server: server, requestLine: line, header: req.Header, body: body}
 	h.mu.Lock()
@@ -316,6 +322,15 @@
 	<-clientClosed
 }
 
+// serveHealth responds to a health check.
+func (h *frontHarness) serveHealth(server string, c net.Conn) {
+	if h.health != nil {
+		h.health(server, c)
+		return
+	}
+	fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+}
+
 // requests returns the requests that all servers have received so far, in order.
 func (h *frontHarness) requests() []receivedRequest {
 	h.mu.Lock()
--- a/internal/gateway/frontclose_test.go
+++ b/internal/gateway/frontclose_test.go
@@ -5,8 +5,11 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+
+	ring "eelgrassring.dev"
 )
 
 // The header of a response that has neither a length nor chunks and ends with its
@@ -112,3 +115,104 @@
 		})
 	}
 }
+
+// TestUnframedResponseNeedsALivingServer guards against a part of a response without a length
+// that is forwarded as a success because its server ends or leaves: a process that ends may
+// accept a connection after it has closed that of the response. A sound server that is silent
+// for a while keeps its response.
+func TestUnframedResponseNeedsALivingServer(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// health is called for the n-th health check of a server that has not ended.
+		health func(h *frontHarness, server string, n int, c net.Conn)
+		// isLeaving is set if the server announces that it leaves.
+		isLeaving bool
+		isWhole   bool
+		took      time.Duration
+	}{
+		{"it answers", nil, false, true, 0},
+		{"it leaves and answers", nil, true, true, 0},
+		{"it is full", func(_ *frontHarness, _ string, _ int, c net.Conn) {
+			fmt.Fprint(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		}, false, true, 0},
+		{"it ends", func(h *frontHarness, server string, _ int, _ net.Conn) { h.end(server) }, false, false, livenessPause},
+		{"it leaves and ends", func(h *frontHarness, server string, _ int, _ net.Conn) { h.end(server) }, true, false, livenessPause},
+		{"it ends slowly", func(h *frontHarness, server string, n int, _ net.Conn) {
+			if n == 5 {
+				h.end(server)
+			}
+		}, false, false, 5 * livenessPause},
+		{"it is silent and goes on", func(_ *frontHarness, _ string, n int, c net.Conn) {
+			if n < 3 {
+				time.Sleep(2 * livenessTimeout)
+			}
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}, false, true, 2 * (livenessTimeout + livenessPause)},
+		{"a check is reset", func(_ *frontHarness, _ string, n int, c net.Conn) {
+			if n > 1 {
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		}, false, true, livenessPause},
+		{"it stays silent", func(*frontHarness, string, int, net.Conn) { time.Sleep(2 * livenessTimeout) }, false, false, 1980 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+				checks := 0
+				h.health = func(server string, c net.Conn) {
+					checks++
+					if test.health != nil {
+						test.health(h, server, checks, c)
+						return
+					}
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+				}
+				h.handle = func(server string, _ int, r receivedRequest, c net.Conn) {
+					if test.isLeaving {
+						h.fleet.Put(ring.Server{ID: ring.VM(server), Service: "app", Address: server, Slots: 6, Leaving: true}, 1000)
+					}
+					fmt.Fprint(c, unframedHeader(r, "text/plain")+"half and half")
+				}
+				begin := time.Now()
+				w, _ := h.call("POST", "/write/1", "")
+				is.Equal(w.Code == 200, test.isWhole)
+				is.Equal(w.Code == 502 || w.Code == 504, !test.isWhole)
+				is.Equal(time.Since(begin), test.took)
+				is.Equal(len(h.requests()), 1)
+			})
+		})
+	}
+}
+
+// TestUnframedStreamNeedsALivingServer is the same for streams, which another server goes on
+// with.
+func TestUnframedStreamNeedsALivingServer(t *testing.T) {
+	for _, isLeaving := range []bool{false, true} {
+		withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+			h.health = func(server string, c net.Conn) {
+				if len(h.requests()) == 1 {
+					h.end(server)
+					return
+				}
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+			h.handle = func(server string, n int, r receivedRequest, c net.Conn) {
+				fmt.Fprint(c, unframedHeader(r, "text/event-stream"))
+				if n == 1 {
+					h.fleet.Put(ring.Server{
+						ID: ring.VM(server), Service: "engine", Address: server, Slots: 4, Model: "m", Leaving: isLeaving,
+						Membership: ring.Membership{Group: ring.Group("g" + server), Epoch: 1, State: ring.MemberOpen},
+					}, 1000)
+					fmt.Fprint(c, "id: 1\ndata: piece\n\n")
+					return
+				}
+				last, _ := numericEventID(r.header.Get("Last-Event-Id"))
+				writePieces(c, last)
+			}
+			w, isBroken := h.call("POST", "/draft/x", "body")
+			is.True(!isBroken)
+			is.Equal(w.Code, 200)
+			is.Equal(strings.Count(w.Body.String(), "data: piece\n\n"), 4)
+			is.Equal(len(h.requests()), 2)
+		})
+	}
+}
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -199,7 +199,7 @@
 	body, err := x.readBody()
 	watch.stop()
 	if err == nil {
-		err = f.checkEnd(ctx, x, server)
+		err = f.checkEnd(ctx, req, x, server)
 	}
 	switch {
 	case err != nil:
--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -299,7 +299,7 @@
 	}
 	body, err := x.readBody()
 	if err == nil {
-		err = o.front.checkEnd(ctx, x, chosen.Head)
+		err = o.front.checkEnd(ctx, o.request, x, chosen.Head)
 	}
 	if err != nil {
 		return false, &attemptError{stage: stageSent, err: err}
@@ -381,7 +381,7 @@
 	if x.isUnframed() && !hasEvents && o.lastEventID == "" {
 		return io.ErrUnexpectedEOF
 	}
-	return o.front.checkEnd(ctx, x, head)
+	return o.front.checkEnd(ctx, o.request, x, head)
 }
 
 // errForeign is the error of a response that does not continue the stream that the caller has
--- /dev/null
+++ b/internal/gateway/liveness.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/clock"
+)
+
+const (
+	// livenessTimeout bounds one health check of a server whose response has ended, and
+	// livenessPause is the time between two of them.
+	livenessTimeout = 500 * time.Millisecond
+	livenessPause   = 50 * time.Millisecond
+	// maxLivenessWait is how long a server may be silent before its unframed response counts
+	// as incomplete. A sound one may be silent for a second or two.
+	maxLivenessWait = 2500 * time.Millisecond
+)
+
+// checkEnd returns an error if a response is not known to be complete. One with a length or
+// chunks is. One without ends with its connection, which the end of its server closes too:
+// it is complete if the server answers a health check afterwards, whether it is about to stop
+// or not. A process that ends may still accept connections, so that an accepted one shows
+// nothing.
+func (f *Front) checkEnd(ctx context.Context, req *frontRequest, x *exchange, server ring.Server) error {
+	if !x.isUnframed() {
+		return nil
+	}
+	end := time.Now().Add(maxLivenessWait)
+	if req.deadline.Before(end) {
+		end = req.deadline
+	}
+	ctx, cancel := context.WithDeadline(ctx, end)
+	defer cancel()
+	for {
+		err := f.checkHealth(ctx, server, req.service.HealthPath)
+		switch {
+		case err == nil:
+			return nil
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return fmt.Errorf("the server has ended: %w", io.ErrUnexpectedEOF)
+		}
+		if !clock.Sleep(ctx, livenessPause) || ctx.Err() != nil {
+			return fmt.Errorf("the server does not answer after the end of its response (%w): %w", err, io.ErrUnexpectedEOF)
+		}
+	}
+}
+
+// checkHealth asks a server for its health. Any response is one.
+func (f *Front) checkHealth(ctx context.Context, server ring.Server, path string) error {
+	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
+	defer cancel()
+	conn, err := f.config.Dial(ctx, "tcp", server.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if path == "" {
+		path = "/"
+	}
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", lineBreaks.Replace(path), server.Address); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(&headLimiter{in: conn, left: maxResponseHead}), nil)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
