gateway: a success without the server's signature is no response

Cause: the signature was looked at only where a response continues a stream.

Change: an unsigned success fails the attempt: another server is asked where the route allows it, otherwise the caller gets a failure that promises nothing. TestUnsignedSuccessIsNoResponse failed before in 6 of 7 cases. In seven tests the in-memory servers sign their successes now, as real ones do.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -154,7 +154,7 @@
 // complete response, and against reading on for their end.
 func TestBytesBeyondAResponseAreDropped(t *testing.T) {
 	for _, target := range []string{"/read/x", "/write/x", "/single/1"} {
-		eachPace(t, endless.Beyond("200 OK", "T-Id: id1\r\n", "done"), func(t *testing.T, is *is.I, r endless.Response, slow bool) {
+		eachPace(t, endless.Beyond("200 OK", "T-Id: id1\r\nT-Seal: s\r\n", "done"), func(t *testing.T, is *is.I, r endless.Response, slow bool) {
 			got := callEndless(t, r, slow, target, maxResponseHead, nil)
 			is.Equal(got.status, 200)
 			is.Equal(got.body, "done")
@@ -165,7 +165,7 @@
 }
 
 // streamHead is the head of a stream without a length.
-const streamHead = "HTTP/1.1 200 OK\r\nT-Id: id1\r\nT-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n"
+const streamHead = "HTTP/1.1 200 OK\r\nT-Id: id1\r\nT-Seal: s\r\nT-Seal: s\r\nContent-Type: text/event-stream\r\n\r\n"
 
 // endlessEvents returns streams that end in an endless event after the first two.
 func endlessEvents() []endless.Response {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -108,11 +108,26 @@
 		req.mayHaveRun = true
 		return nil, &attemptError{stage: stageSent, err: fmt.Errorf("response to another request: %s", x.header.ID)}
 	}
+	if isSuccess(x.response.StatusCode) && !x.header.Signed {
+		f.config.Metrics.Count("unsigned_answers", 1)
+		x.close()
+		req.mayHaveRun = true
+		return nil, &attemptError{stage: stageSent, err: errUnsigned}
+	}
 	f.recordLimit(req, server, x)
 	req.mayHaveRun = req.mayHaveRun || !x.header.NotRun
 	return x, nil
 }
 
+// errUnsigned is the error of a success without the server's signature: it is not known to
+// be the server's.
+var errUnsigned = errors.New("the response is not signed")
+
+// isSuccess reports whether a status is one of success.
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 // recordNotices records what a server announces in the header of a response: that it
 // is about to stop, or that it wants no requests from this node for a time. The node
 // obeys at once, and tells its peers of a server that is about to stop.
--- a/internal/gateway/foreign_test.go
+++ b/internal/gateway/foreign_test.go
@@ -130,3 +130,44 @@
 		})
 	}
 }
+
+// TestUnsignedSuccessIsNoResponse guards against forwarding a success that no server has
+// signed: it may be anyone's. The request may have run all the same. An unsigned failure is
+// forwarded, as the network between may have made it.
+func TestUnsignedSuccessIsNoResponse(t *testing.T) {
+	for _, c := range []struct {
+		target            string
+		status            int
+		isStream          bool
+		want, attempts    int
+		isForwardedAsItIs bool
+	}{
+		{"/write/1", 200, false, 502, 1, false},
+		{"/write/1", 201, false, 502, 1, false},
+		{"/read/1", 200, false, 200, 2, false},
+		{"/single/1", 200, true, 502, 1, false},
+		{"/draft/1", 200, true, 200, 2, false},
+		{"/draft/1", 200, false, 200, 2, false},
+		{"/write/1", 404, false, 404, 1, true},
+	} {
+		t.Run(fmt.Sprintf("%s %d, stream %v", c.target, c.status, c.isStream), func(t *testing.T) {
+			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+				h.handle = func(_ string, n int, _ receivedRequest, s net.Conn) {
+					contentType, text, seal := "text/plain", "anyone's", ""
+					if c.isStream {
+						contentType, text = "text/event-stream", "id: 1\ndata: anyone's\n\n"
+					}
+					if n > 1 {
+						text, seal = strings.Replace(text, "anyone", "the server", 1), "T-Seal: s\r\n"
+					}
+					fmt.Fprintf(s, "HTTP/1.1 %d X\r\nT-Id: id1\r\n%sContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", c.status, seal, contentType, len(text), text)
+				}
+				w, isBroken := h.call("POST", c.target, "x")
+				is.True(!isBroken)
+				is.Equal(w.Code, c.want)
+				is.Equal(len(h.requests()), c.attempts)
+				is.Equal(strings.Contains(w.Body.String(), "anyone"), c.isForwardedAsItIs)
+			})
+		})
+	}
+}
--- a/internal/gateway/front_drain_test.go
+++ b/internal/gateway/front_drain_test.go
@@ -75,7 +75,7 @@
 	pause(0)
 	if !strings.Contains(r.requestLine, "/draft/") && !strings.Contains(r.requestLine, "/single/") {
 		text := streamText(4)
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nContent-", id)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\nContent-", id)
 		pause(1)
 		fmt.Fprintf(c, "Length: %d\r\n\r\n%s", len(text), text[:20])
 		pause(2)
--- a/internal/gateway/front_fault_test.go
+++ b/internal/gateway/front_fault_test.go
@@ -84,7 +84,7 @@
 	for _, target := range []string{"/read/x", "/write/x"} {
 		withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
 			h.handle = func(_ string, _ int, _ receivedRequest, c net.Conn) {
-				fmt.Fprint(c, "HTTP/1.1 200 X\r\nT-Id: id1\r\nContent-Length: 1000\r\n\r\n")
+				fmt.Fprint(c, "HTTP/1.1 200 X\r\nT-Id: id1\r\nT-Seal: s\r\nContent-Length: 1000\r\n\r\n")
 				for range 1000 {
 					if _, err := c.Write([]byte("x")); err != nil {
 						return
--- a/internal/gateway/front_load_test.go
+++ b/internal/gateway/front_load_test.go
@@ -128,7 +128,7 @@
 	size := fmt.Sprintf("%x\r\n", len(event))
 	whole := append(append([]byte(size), event...), "\r\n"...)
 	harness.handle = func(_ string, _ int, _ receivedRequest, c net.Conn) {
-		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nT-Id: id1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nT-Id: id1\r\nT-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 		for range b.N {
 			_, _ = c.Write(whole)
 		}
--- a/internal/gateway/front_silence_test.go
+++ b/internal/gateway/front_silence_test.go
@@ -24,7 +24,7 @@
 		answer(c, isStream, 0)
 	},
 	"in the header": func(c net.Conn, isStream bool) {
-		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nT-Id: i")
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nT-Seal: s\r\nT-Id: i")
 		time.Sleep(silence)
 		if isStream {
 			fmt.Fprint(c, "d1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -48,7 +48,7 @@
 		return
 	}
 	text := streamText(4)
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: id1\r\nContent-Length: %d\r\n\r\n%s", len(text), text[:30])
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: id1\r\nT-Seal: s\r\nContent-Length: %d\r\n\r\n%s", len(text), text[:30])
 	time.Sleep(pause)
 	fmt.Fprint(c, text[30:])
 }
--- a/internal/gateway/frontpart_test.go
+++ b/internal/gateway/frontpart_test.go
@@ -257,7 +257,7 @@
 	}
 	life := h.lifeOf(server)
 	isOver := func() bool { return h.isRefused(server) || h.lifeOf(server) != life }
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.header.Get("T-Id"))
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nT-Id: %s\r\nT-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.header.Get("T-Id"))
 	time.Sleep(partPrefill)
 	last, _ := numericEventID(r.header.Get("Last-Event-Id"))
 	end := time.Now().Add(d.streamTime)
