gateway: the bodies of callers share a bounded memory

Cause: each body was read at once into a doubling buffer, and copied into each attempt.

Change: large bodies share 48 MiB; a request waits up to a second before its body is read, and is refused with a time to come back otherwise; small bodies are not counted; an attempt writes the body without a copy.

--- a/internal/gateway/bodymemory.go
+++ b/internal/gateway/bodymemory.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -22,23 +23,28 @@
 	smallBody = 64 << 10
 )
 
+// maxCallerBodies bounds the memory for the large bodies of callers at a Front.
+const maxCallerBodies = 48 << 20
+
 // errBodyMemory is returned for a large body that all memory for such bodies would not
 // suffice for.
-var errBodyMemory = errors.New("the memory for large response bodies is in use")
+var errBodyMemory = errors.New("the memory for large bodies is in use")
 
-// bodyMemory bounds the memory that the response bodies of all requests take.
+// bodyMemory bounds the memory that the bodies of all requests, or of all responses, take.
 type bodyMemory struct {
 	maxBody int
 
 	mu sync.Mutex
 	// free is how many bytes may still be allocated for large bodies.
 	free int
+	// freed is closed and replaced when bytes are returned.
+	freed chan struct{}
 }
 
 // newBodyMemory returns a bodyMemory for bodies of up to maxBody bytes, of which the large
 // ones take up to total bytes together.
 func newBodyMemory(maxBody, total int) *bodyMemory {
-	return &bodyMemory{maxBody: maxBody, free: total}
+	return &bodyMemory{maxBody: maxBody, free: total, freed: make(chan struct{})}
 }
 
 // take reserves n bytes. It returns false if they are not free.
@@ -57,6 +63,78 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.free += n
+	if n > 0 {
+		close(m.freed)
+		m.freed = make(chan struct{})
+	}
+}
+
+// await reserves n bytes. If they are not free, it waits until the context ends, and then
+// returns false.
+func (m *bodyMemory) await(ctx context.Context, n int) bool {
+	for {
+		m.mu.Lock()
+		freed := m.freed
+		m.mu.Unlock()
+		if m.take(n) {
+			return true
+		}
+		select {
+		case <-freed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// readLength reads a body of the given length. If there is no memory for a large one, it
+// waits until the context ends, before it reads anything, and then returns errBodyMemory.
+// The caller must call done, which is never nil, when it no longer uses the body.
+func (m *bodyMemory) readLength(ctx context.Context, in io.Reader, length int) (body []byte, done func(), err error) {
+	done = func() {}
+	if length > smallBody {
+		if !m.await(ctx, length) {
+			return nil, done, errBodyMemory
+		}
+		done = sync.OnceFunc(func() { m.release(length) })
+	}
+	body = make([]byte, length)
+	_, err = io.ReadFull(in, body)
+	return body, done, err
+}
+
+// readUnknown reads a body of unknown length, of which the reader yields at most limit bytes.
+// For a large one it reserves limit bytes, as readLength does, after the first smallBody bytes.
+func (m *bodyMemory) readUnknown(ctx context.Context, in io.Reader, limit int) (body []byte, done func(), err error) {
+	done = func() {}
+	body, err = readInto(in, make([]byte, 0, min(limit, smallBody)))
+	if err != errBodyFull {
+		return body, done, err
+	}
+	if !m.await(ctx, limit) {
+		return nil, done, errBodyMemory
+	}
+	done = sync.OnceFunc(func() { m.release(limit) })
+	body, err = readInto(in, append(make([]byte, 0, limit+1), body...))
+	return body, done, err
+}
+
+// errBodyFull is returned by readInto if the reader may have more than fits.
+var errBodyFull = errors.New("the body is longer than its buffer")
+
+// readInto appends to body, within its capacity, until the reader ends with io.EOF.
+func readInto(in io.Reader, body []byte) ([]byte, error) {
+	for len(body) < cap(body) {
+		n, err := in.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return body, err
+		}
+	}
+	return body, errBodyFull
 }
 
 // read reads a body to its end. It returns an error if the body is longer than maxBody or
@@ -71,7 +149,7 @@
 	body = make([]byte, 0, 1<<10)
 	for {
 		if len(body) > m.maxBody {
-			return nil, done, fmt.Errorf("response body exceeds %d bytes", m.maxBody)
+			return nil, done, fmt.Errorf("body exceeds %d bytes", m.maxBody)
 		}
 		if len(body) == cap(body) {
 			size := min(2*cap(body), m.maxBody+1)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -88,7 +88,10 @@
 		sent <- err
 	} else {
 		go func() {
-			_, err := conn.Write(append(request, req.body...))
+			_, err := conn.Write(request)
+			if err == nil {
+				_, err = conn.Write(req.body) // A copy would double the memory of a large body.
+			}
 			sent <- err
 		}()
 	}
@@ -211,7 +214,7 @@
 		Remaining: time.Until(req.deadline), Server: server.ID, Workspace: req.holder.Workspace, LastEvent: lastEventID, Urgency: min(f.priority(req), 9),
 	})
 	var b bytes.Buffer
-	b.Grow(1024 + len(req.body))
+	b.Grow(1024 + min(len(req.body), maxInlineBody))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", req.method, req.target, req.host)
 	names := make([]string, 0, len(h))
 	for name := range h {
--- a/internal/gateway/front.go
+++ b/internal/gateway/front.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -25,7 +24,9 @@
 
 const (
 	// defaultMaxBody bounds a caller's body if the configuration does not.
-	defaultMaxBody = 64 << 20
+	defaultMaxBody = 32 << 20
+	// maxBodyWait is how long a request may wait until there is memory for its body.
+	maxBodyWait = time.Second
 	// responseMargin is subtracted from the request's timeout, so that the response
 	// reaches the caller in time.
 	responseMargin = 20 * time.Millisecond
@@ -118,8 +119,10 @@
 	// underWay holds the IDs of the requests that are being served.
 	underWayMu sync.Mutex
 	underWay   map[*frontRequest]string
-	// bodies bounds the memory for response bodies.
-	bodies *bodyMemory
+	// bodies bounds the memory for response bodies, and callerBodies that for the bodies of
+	// requests.
+	bodies       *bodyMemory
+	callerBodies *bodyMemory
 	// permits gets the permits for requests to servers with a rate limit. unreadable limits
 	// the log lines of limits that could not be read.
 	permits    *quota.Client
@@ -137,16 +140,17 @@
 	}
 	stopping, endStopping := context.WithCancel(context.Background())
 	f := &Front{
-		config:      c,
-		stopping:    stopping,
-		endStopping: endStopping,
-		durations:   newDurations(),
-		underWay:    map[*frontRequest]string{},
-		budgets:     newRetryBudgets(retry.Config{Ratio: c.RetryRatio, Burst: c.RetryBurst, Window: retryWindow}, c.Node),
-		servers:     newServerStats(),
-		suspicion:   newSuspicion(),
-		bodies:      newBodyMemory(maxRoutedBody, maxRoutedBodies),
-		permits:     c.Node.Quota(),
+		config:       c,
+		stopping:     stopping,
+		endStopping:  endStopping,
+		durations:    newDurations(),
+		underWay:     map[*frontRequest]string{},
+		budgets:      newRetryBudgets(retry.Config{Ratio: c.RetryRatio, Burst: c.RetryBurst, Window: retryWindow}, c.Node),
+		servers:      newServerStats(),
+		suspicion:    newSuspicion(),
+		bodies:       newBodyMemory(maxRoutedBody, maxRoutedBodies),
+		callerBodies: newBodyMemory(maxCallerBodies, maxCallerBodies),
+		permits:      c.Node.Quota(),
 	}
 	f.selector = newReplicaSelector(c.Fleet, c.Node, f.mayTry)
 	return f
@@ -175,7 +179,9 @@
 	host   string
 	// forwardedHeader is the caller's header without hop-by-hop fields.
 	forwardedHeader http.Header
-	body            []byte
+	// body is valid until releaseBody is called.
+	body        []byte
+	releaseBody func()
 	// mayHaveRun is set as soon as a server may have run the request in any attempt.
 	mayHaveRun bool
 	// attempts counts the attempts that reached a server. It is logged, like most of
@@ -222,7 +228,8 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	req := &frontRequest{receivedAt: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host}
+	req := &frontRequest{receivedAt: time.Now(), method: r.Method, target: r.RequestURI, host: r.Host, releaseBody: func() {}}
+	defer func() { req.releaseBody() }()
 	defer func() { f.recordOutcome(req, r.Context().Err() != nil) }()
 	failure := f.identify(req, r)
 	req.readAt = time.Now()
@@ -355,13 +362,15 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(req.deadline) // net/http sets a new deadline for the next request.
 	outliveStop := context.AfterFunc(f.stopping, func() { _ = control.SetReadDeadline(time.Unix(1, 0)) })
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := f.readLimited(req, w, r, limit)
 	if !outliveStop() {
 		return f.refuseAtStop(req)
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errBodyMemory):
+		return ring.FailRetryAt(ring.CodeOverloaded, spreadRetry(time.Now().Add(busyRetryAfter)), "there is no memory for the body")
 	case errors.As(err, &tooLarge):
 		return ring.Fail(ring.CodeBodyTooLarge, "the body exceeds the limit of %d bytes", limit)
 	case err != nil:
@@ -371,6 +380,20 @@
 	return nil
 }
 
+// readLimited reads a body of at most limit bytes, once there is memory for it. It sets
+// releaseBody.
+func (f *Front) readLimited(req *frontRequest, w http.ResponseWriter, r *http.Request, limit int64) (body []byte, err error) {
+	reader := http.MaxBytesReader(w, r.Body, limit)
+	ctx, cancel := context.WithTimeout(f.stopping, min(maxBodyWait, time.Until(req.deadline)/2))
+	defer cancel()
+	if r.ContentLength < 0 || r.ContentLength > limit {
+		body, req.releaseBody, err = f.callerBodies.readUnknown(ctx, reader, int(min(limit, maxCallerBodies)))
+		return body, err
+	}
+	body, req.releaseBody, err = f.callerBodies.readLength(ctx, reader, int(r.ContentLength))
+	return body, err
+}
+
 // minLongUpload is the least length of a body that a caller may still be sending when a
 // response to the header reaches it.
 const minLongUpload = 256 << 10
--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -501,8 +501,10 @@
 
 func TestNonIdempotentCallNeverRunsTwice(t *testing.T) {
 	for name, respondWith := range map[string]func(c net.Conn){
-		"closed":             func(c net.Conn) {},
-		"truncated":          func(c net.Conn) { fmt.Fprint(c, "HTTP/1.1 200 OK\r\nT-Id: id1\r\nT-Seal: s\r\nContent-Length: 10\r\n\r\nhalf") },
+		"closed": func(c net.Conn) {},
+		"truncated": func(c net.Conn) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nT-Id: id1\r\nT-Seal: s\r\nContent-Length: 10\r\n\r\nhalf")
+		},
 		"malformed response": func(c net.Conn) { fmt.Fprint(c, "garbage\r\n\r\n") },
 		"foreign":            func(c net.Conn) { respond(c, 200, "id0", "another's") },
 	} {
