--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/matryer/is"
 )
@@ -81,3 +82,31 @@
 	is.Equal(taken(Usage{Requests: 5000, Retries: 350}, at(100)), own)
 	is.Equal(taken(Usage{Requests: 5000, Retries: 0}, at(0)), own) // the usage is no longer valid
 }
+
+// atTimeOfDay returns t with a time of day that is shifted by d, as after a step of the
+// machine's clock. The monotonic reading, by which times are compared, stays. It relies on the
+// representation of time.Time, whose first word holds the seconds from bit 30 on.
+func atTimeOfDay(t time.Time, d time.Duration) time.Time {
+	word := (*uint64)(unsafe.Pointer(&t))
+	*word += uint64(d/time.Second) << 30
+	return t
+}
+
+// TestStepsOfTheClockDoNotRenewTheBudget guards against counts that the time of day expires: a
+// step of the clock by the window would allow all retries once more.
+func TestStepsOfTheClockDoNotRenewTheBudget(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	is.Equal(atTimeOfDay(now, time.Hour).Sub(now), time.Duration(0)) // the helper works
+	is.Equal(atTimeOfDay(now, time.Hour).Unix()-now.Unix(), int64(3600))
+	b := NewBudget(Config{Ratio: 0, Burst: 5, Window: 10 * time.Second})
+	taken := 0
+	for i := range 100 {
+		step := time.Duration(i%3) * time.Hour
+		if b.Take(atTimeOfDay(now.Add(time.Duration(i)*50*time.Millisecond), step), 1, nil) {
+			taken++
+		}
+	}
+	is.Equal(taken, 5)
+	is.True(b.Take(now.Add(time.Minute), 1, nil)) // the window has passed
+}
