gateway, platform: a liveness check needs no slot

The check after a response without length asked for the server's health, which waits for a slot like a request: at a full engine sound responses would have been delayed, and failed after 2.5 s.

--- a/internal/gateway/front_test.go
+++ b/internal/gateway/front_test.go
@@ -77,6 +77,8 @@
 	}
 }
 
+func (testDialect) LivenessPath(ring.RoutedService) string { return "/alive" }
+
 func (testDialect) WriteFailure(h http.Header, id string, f *ring.Failure, now time.Time) {
 	h.Set("T-Id", id)
 	if !f.RetryAt.IsZero() {
--- a/internal/gateway/liveness.go
+++ b/internal/gateway/liveness.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// livenessTimeout bounds one health check of a server whose response has ended, and
+	// livenessTimeout bounds one liveness check of a server whose response has ended, and
 	// livenessPause is the time between two of them.
 	livenessTimeout = 500 * time.Millisecond
 	livenessPause   = 50 * time.Millisecond
@@ -26,7 +26,7 @@
 
 // checkEnd returns an error if a response is not known to be complete. One with a length or
 // chunks is. One without ends with its connection, which the end of its server closes too:
-// it is complete if the server answers a health check afterwards, whether it is about to stop
+// it is complete if the server answers a liveness check afterwards, whether it is about to stop
 // or not. A process that ends may still accept connections, so that an accepted one shows
 // nothing.
 func (f *Front) checkEnd(ctx context.Context, req *frontRequest, x *exchange, server ring.Server) error {
@@ -40,7 +40,7 @@
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	for {
-		err := f.checkHealth(ctx, server, req.service.HealthPath)
+		err := f.checkLiveness(ctx, server, f.config.Dialect.LivenessPath(req.service))
 		switch {
 		case err == nil:
 			return nil
@@ -53,8 +53,8 @@
 	}
 }
 
-// checkHealth asks a server for its health. Any response is one.
-func (f *Front) checkHealth(ctx context.Context, server ring.Server, path string) error {
+// checkLiveness returns nil if a server responds to a request for a path, in whatever way.
+func (f *Front) checkLiveness(ctx context.Context, server ring.Server, path string) error {
 	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
 	defer cancel()
 	conn, err := f.config.Dial(ctx, "tcp", server.Address)
@@ -64,9 +64,6 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if path == "" {
-		path = "/"
-	}
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", lineBreaks.Replace(path), server.Address); err != nil {
 		return err
 	}
--- a/route.go
+++ b/route.go
@@ -107,7 +107,7 @@
 	// replicas only, even if no model is configured.
 	RunsModels bool
 	Models     []ReplicaModel
-	Rates  EngineRates
+	Rates      EngineRates
 	// Slots is how many requests a replica runs at a time.
 	Slots int
 	// LoadsPerSecond bounds the rate of weight loads from the weight store.
@@ -140,15 +140,15 @@
 // Routing is one version of the routing configuration. Number increases with each
 // version.
 type Routing struct {
-	Number     int64
-	Routes     []Route
-	Services   []RoutedService
+	Number   int64
+	Routes   []Route
+	Services []RoutedService
 	// RequiresKey is set if the configuration declares key holders, even none: calls to
 	// routes that are not public then need the key of one of them. Otherwise calls need no
 	// key, and one with a key is refused, because nobody holds it.
 	RequiresKey bool
 	KeyHolders  []KeyHolder
-	Limits     CallerLimits
+	Limits      CallerLimits
 }
 
 // CallHeader is what the gateway reads from a caller's request header.
@@ -258,6 +258,9 @@
 	WriteAttempt(h http.Header, a AttemptHeader)
 	// ReadAnswer reads the status and header of a backend server's response.
 	ReadAnswer(status int, h http.Header) AnswerHeader
+	// LivenessPath returns the path of a GET request that a service's servers answer without
+	// running anything, if possible without a free slot.
+	LivenessPath(s RoutedService) string
 	// WriteFailure sets the response header for a failure of this system.
 	WriteFailure(h http.Header, callID string, f *Failure, now time.Time)
 }
