gateway: a silent attempt moves only to a server that it is connected to

Cause: a request that may be repeated was given up at 0.9 of its latency target as soon as another server was reserved, which was registered but not known to live.

Change: the node connects to the reserved server first, beginning 20 ms before it may move, and moves only when the connection is open; the next attempt uses it. A server that cannot be reached is left out. TestSlowServerIsNotLeftForADeadOne failed before for servers that refuse and that hang; the time of a move to a living server is the same (270 ms).

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -67,15 +67,17 @@
 // abort makes every pending and later read and write of the exchange fail.
 func (x *exchange) abort() { _ = x.conn.SetDeadline(time.Unix(1, 0)) }
 
-// sendAttempt sends the request to a server and reads the header of the response. The
-// exchange is aborted at the deadline or when the context ends. If lastEventID is not
+// sendAttempt sends the request to a server, on a new connection if conn is nil, and reads
+// the header of the response. The exchange is aborted at the deadline or when the context ends. If lastEventID is not
 // empty, the request asks the server for only the events after that ID.
-func (f *Front) sendAttempt(ctx context.Context, req *frontRequest, server ring.Server, lastEventID string, deadline time.Time) (*exchange, *attemptError) {
-	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
-	conn, err := f.config.Dial(dialCtx, "tcp", server.Address)
-	cancel()
-	if err != nil {
-		return nil, &attemptError{stage: stageNotSent, err: err}
+func (f *Front) sendAttempt(ctx context.Context, req *frontRequest, server ring.Server, conn net.Conn, lastEventID string, deadline time.Time) (*exchange, *attemptError) {
+	if conn == nil {
+		dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		var err error
+		if conn, err = f.config.Dial(dialCtx, "tcp", server.Address); err != nil {
+			return nil, &attemptError{stage: stageNotSent, err: err}
+		}
 	}
 	req.sentAt = time.Now()
 	_ = conn.SetDeadline(deadline)
--- a/internal/gateway/front_fault_test.go
+++ b/internal/gateway/front_fault_test.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -99,3 +102,45 @@
 		})
 	}
 }
+
+// TestSlowServerIsNotLeftForADeadOne guards against giving up an attempt at a sound server,
+// which would answer a little later, for servers that are registered and have ended.
+func TestSlowServerIsNotLeftForADeadOne(t *testing.T) {
+	for _, others := range []string{"refuse", "hang", "live"} {
+		t.Run(others, func(t *testing.T) {
+			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+				var first atomic.Pointer[string]
+				dial := h.front.config.Dial
+				h.front.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+					slow := first.Load()
+					switch {
+					case slow == nil || address == *slow || others == "live":
+						return dial(ctx, network, address)
+					case others == "refuse":
+						return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+					}
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+				h.handle = func(server string, n int, _ receivedRequest, c net.Conn) {
+					if n == 1 {
+						first.Store(&server)
+						time.Sleep(time.Second)
+					}
+					respond(c, 200, "id1", "done by "+server)
+				}
+				begin := time.Now()
+				w, _ := h.call("POST", "/read/1", "x")
+				is.Equal(w.Code, 200)
+				slow := *first.Load()
+				if others != "live" {
+					is.Equal(w.Body.String(), "done by "+slow)
+					is.Equal(len(h.requests()), 1)
+					return
+				}
+				is.True(w.Body.String() != "done by "+slow)
+				is.Equal(time.Since(begin), 270*time.Millisecond) // retryFraction of the target
+			})
+		})
+	}
+}
--- a/internal/gateway/frontclose_test.go
+++ b/internal/gateway/frontclose_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -157,11 +158,11 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
-				checks := 0
+				var checks atomic.Int64
 				h.health = func(server string, c net.Conn) {
-					checks++
+					n := int(checks.Add(1))
 					if test.health != nil {
-						test.health(h, server, checks, c)
+						test.health(h, server, n, c)
 						return
 					}
 					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -20,6 +21,9 @@
 	retryFraction = 0.9
 	// minRetryDelay is the least time that an attempt gets before such a retry.
 	minRetryDelay = 150 * time.Millisecond
+	// moveCheckInterval is how often a silent attempt checks whether it can move. It begins
+	// one interval before it may, to connect to the next server meanwhile.
+	moveCheckInterval = 20 * time.Millisecond
 )
 
 // plainRelay serves a request to a service without models, in one or more attempts.
@@ -28,8 +32,17 @@
 	w       http.ResponseWriter
 	request *frontRequest
 	tried   map[ring.VM]bool
-	// next is the server that was reserved for the next attempt, or nil.
-	next *ring.Server
+	// next is the server that was reserved for the next attempt, to which nextConn is
+	// connected, or nil. dialing is a reserved server that is being connected to, or nil.
+	next     *ring.Server
+	nextConn net.Conn
+	dialing  *pendingDial
+}
+
+// pendingDial is a connection that is being opened to a server.
+type pendingDial struct {
+	server ring.Server
+	result chan net.Conn
 }
 
 // servePlain serves a request to a service without models. It returns nil if it
@@ -74,6 +87,7 @@
 // nextServer returns the server for the next attempt, at which it has counted a request
 // in flight. It returns false if there is none, or if the retry budget is spent.
 func (p *plainRelay) nextServer(ctx context.Context) (ring.Server, bool) {
+	p.cancelDial()
 	if p.next != nil {
 		server := *p.next
 		p.next = nil
@@ -91,11 +105,16 @@
 	return server, ok
 }
 
-// reserveNext reserves a server for an attempt that replaces the current one. It
-// returns false if the request may not be sent again, or if no server can take it. It
-// runs beside the attempt, and sees the request only as in probe, its own copy.
+// reserveNext reserves a server for an attempt that replaces the current one, and connects
+// to it: a server that is registered may have ended, and the current one may only be slow.
+// It returns false if the request may not be sent again, if no server can take it, or while
+// it connects. It runs beside the attempt, and sees the request only as in probe, its own
+// copy.
 func (p *plainRelay) reserveNext(ctx context.Context, probe *frontRequest) bool {
 	f, now := p.front, time.Now()
+	if p.dialing != nil {
+		return p.finishDial(probe, now)
+	}
 	if probe.deadline.Sub(now) < minRetryDelay || f.recheck(probe) != nil || !f.budgets.allows(probe.service) {
 		return false
 	}
@@ -108,11 +127,44 @@
 	if !ok {
 		return false
 	}
-	if !f.budgets.take(probe.service) {
+	p.dialing = &pendingDial{server: server, result: make(chan net.Conn, 1)}
+	go p.dialing.run(ctx, f.config.Dial)
+	return false
+}
+
+// run opens the connection. The result is nil if that fails.
+func (d *pendingDial) run(ctx context.Context, dial Dialer) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", d.server.Address)
+	if err != nil {
+		conn = nil
+	}
+	d.result <- conn
+}
+
+// finishDial makes the server that is being connected to the next one once the connection is
+// open. A server that could not be reached is not tried.
+func (p *plainRelay) finishDial(probe *frontRequest, now time.Time) bool {
+	f, server := p.front, p.dialing.server
+	var conn net.Conn
+	select {
+	case conn = <-p.dialing.result:
+	default:
+		return false
+	}
+	p.dialing = nil
+	switch {
+	case conn == nil:
+		f.servers.release(server, 1, 0, now)
+		p.tried[server.ID] = true
+		return false
+	case !f.budgets.take(probe.service):
 		f.servers.cancel(server)
+		conn.Close()
 		return false
 	}
-	p.next = &server
+	p.next, p.nextConn = &server, conn
 	return true
 }
 
@@ -122,6 +174,26 @@
 		p.front.servers.cancel(*p.next)
 		p.next = nil
 	}
+	if p.nextConn != nil {
+		p.nextConn.Close()
+		p.nextConn = nil
+	}
+	p.cancelDial()
+}
+
+// cancelDial gives back a reserved server that is being connected to.
+func (p *plainRelay) cancelDial() {
+	d := p.dialing
+	if d == nil {
+		return
+	}
+	p.dialing = nil
+	p.front.servers.cancel(d.server)
+	go func() {
+		if conn := <-d.result; conn != nil {
+			conn.Close()
+		}
+	}()
 }
 
 // probe returns a copy of the request with what admit reads, to be used beside an
@@ -158,7 +230,7 @@
 	}
 	delay := max(time.Duration(retryFraction*float64(p.request.route.LatencyTarget)), minRetryDelay)
 	probe := p.request.probe()
-	return watchSilence(ctx, delay, stallCheckInterval, func() bool { return p.reserveNext(ctx, probe) })
+	return watchSilence(ctx, delay-moveCheckInterval, moveCheckInterval, func() bool { return p.reserveNext(ctx, probe) })
 }
 
 // attempt sends the request to a server once and forwards the response. It returns a
@@ -167,10 +239,12 @@
 // this one.
 func (p *plainRelay) attempt(ctx context.Context, server ring.Server, isLast bool) (*ring.Failure, bool) {
 	f, req := p.front, p.request
+	conn := p.nextConn
+	p.nextConn = nil
 	ctx, watch := p.watch(ctx, isLast)
 	defer watch.close()
 	begin := time.Now()
-	x, attemptErr := f.sendAttempt(ctx, req, server, "", req.deadline)
+	x, attemptErr := f.sendAttempt(ctx, req, server, conn, "", req.deadline)
 	if attemptErr == nil || attemptErr.stage != stageNotSent {
 		req.attempts++
 	}
--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -246,7 +246,7 @@
 	defer f.suspicion.end(o.flight)
 	ctx, watch := o.watch(ctx, chosen.Group, isLast)
 	defer watch.close()
-	x, attemptErr := f.sendAttempt(ctx, req, chosen.Head, o.lastEventID, req.deadline)
+	x, attemptErr := f.sendAttempt(ctx, req, chosen.Head, nil, o.lastEventID, req.deadline)
 	if attemptErr == nil || attemptErr.stage != stageNotSent {
 		req.attempts++
 	}
