--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -68,8 +68,9 @@
 func (x *exchange) abort() { _ = x.conn.SetDeadline(time.Unix(1, 0)) }
 
 // sendAttempt sends the request to a server, on a new connection if conn is nil, and reads
-// the header of the response. The exchange is aborted at the deadline or when the context ends. If lastEventID is not
-// empty, the request asks the server for only the events after that ID.
+// the header of the response. The exchange is aborted at the deadline or when the context
+// ends. If lastEventID is not empty, the request asks the server for only the events after
+// that ID.
 func (f *Front) sendAttempt(ctx context.Context, req *frontRequest, server ring.Server, conn net.Conn, lastEventID string, deadline time.Time) (*exchange, *attemptError) {
 	if conn == nil {
 		dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
