--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -345,3 +345,30 @@
 		is.True(strings.Contains(lines.String(), `"request":"id1","begun":true,"age_ms":500,"left_ms":7480`))
 	})
 }
+
+// TestLateAttemptIsNotSentAtAStop guards against another attempt, or one that has waited, that
+// a stopping node sends though it cannot be expected to end in time.
+func TestLateAttemptIsNotSentAtAStop(t *testing.T) {
+	for _, c := range []struct {
+		left     time.Duration
+		status   int
+		attempts int
+	}{{2 * time.Second, 200, 2}, {400 * time.Millisecond, 503, 1}} {
+		withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+			h.handle = func(_ string, n int, _ receivedRequest, s net.Conn) {
+				if n == 1 {
+					time.Sleep(100 * time.Millisecond)
+					respond(s, 503, "id1", "", "T-NotRun: 1\r\n")
+					return
+				}
+				respond(s, 200, "id1", "done")
+			}
+			h.front.durations.observe(durationClass{route: "read"}, 350*time.Millisecond)
+			now := time.Now()
+			h.front.BeginStop(Stop{SettledAt: now, AnswerAt: now.Add(c.left)})
+			w, _ := h.call("GET", "/read/1", "")
+			is.Equal(w.Code, c.status)
+			is.Equal(len(h.requests()), c.attempts)
+		})
+	}
+}
