gateway: declared servers' responses without length need a living server too

The node asks afterwards for 'OPTIONS *', which runs nothing; any response shows that the server lives. Streams of declared groups end with an event of their own. TestUnframedServiceResponseNeedsALivingServer failed before for a server that has ended.

--- a/internal/gateway/cuthead_test.go
+++ b/internal/gateway/cuthead_test.go
@@ -200,3 +200,43 @@
 		})
 	})
 }
+
+// TestUnframedServiceResponseNeedsALivingServer guards against a part of a declared service's
+// response without a length that is forwarded as a success because its server ends.
+func TestUnframedServiceResponseNeedsALivingServer(t *testing.T) {
+	for _, isAlive := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			var requests []string
+			s := newDialingServer(func(context.Context, string, string) (net.Conn, error) {
+				if len(requests) > 1 && !isAlive {
+					return nil, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}
+				}
+				client, server := net.Pipe()
+				go func() {
+					defer server.Close()
+					buffer := make([]byte, 4<<10)
+					n, _ := server.Read(buffer)
+					line, _, _ := strings.Cut(string(buffer[:n]), "\r\n")
+					requests = append(requests, line)
+					switch {
+					case len(requests) == 1:
+						_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf and half")
+					case isAlive:
+						_, _ = io.WriteString(server, "HTTP/1.1 405 Not Allowed\r\nContent-Length: 0\r\n\r\n")
+					}
+				}()
+				return client, nil
+			})
+			p := &serviceCall{
+				server: s, call: &call{id: "id1", body: []byte("x")}, method: http.MethodPost, path: "/x", header: http.Header{}, releaseBody: func() {},
+				service: deployment.Service{Name: "app", Servers: []string{"s:1"}, Timeout: deployment.Duration(testFirstTimeout)},
+			}
+			_, body, err := p.sendAndRead(context.Background(), "s:1")
+			is.Equal(err == nil, isAlive)
+			is.Equal(string(body) == "half and half", isAlive)
+			is.Equal(requests, []string{"POST /x HTTP/1.1", "OPTIONS * HTTP/1.1"})
+			time.Sleep(time.Second)
+		})
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -200,11 +200,8 @@
 	return errors.New("too many informational responses")
 }
 
-// isUnframed reports whether the response has neither a length nor chunks, so that it ends with
-// its connection.
-func (x *exchange) isUnframed() bool {
-	return x.response.ContentLength < 0 && len(x.response.TransferEncoding) == 0
-}
+// isUnframed reports whether the response ends with its connection.
+func (x *exchange) isUnframed() bool { return isUnframed(x.response) }
 
 // readBody reads the body of the response, which may be used until close. It returns an
 // error if the body is too long.
--- a/internal/gateway/liveness.go
+++ b/internal/gateway/liveness.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/url"
 	"syscall"
 	"time"
 
@@ -33,14 +34,41 @@
 	if !x.isUnframed() {
 		return nil
 	}
-	end := time.Now().Add(maxLivenessWait)
-	if req.deadline.Before(end) {
-		end = req.deadline
+	ctx, cancel := context.WithDeadline(ctx, req.deadline)
+	defer cancel()
+	return awaitLiveness(ctx, func(ctx context.Context) error {
+		return f.checkLiveness(ctx, server, f.config.Dialect.LivenessPath(req.service))
+	})
+}
+
+// checkEnd is the same for a response of a declared server, of which no path is known that runs
+// nothing: any server may be asked for its options.
+func (s *Server) checkEnd(ctx context.Context, resp *http.Response, address string) error {
+	if !isUnframed(resp) || resp.Request.Method == http.MethodHead {
+		return nil
 	}
-	ctx, cancel := context.WithDeadline(ctx, end)
+	return awaitLiveness(ctx, func(ctx context.Context) error {
+		ping := &http.Request{Method: http.MethodOptions, URL: &url.URL{Scheme: "http", Host: address, Opaque: "*"}, Header: http.Header{}}
+		response, err := s.transport.RoundTrip(ping.WithContext(ctx))
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	})
+}
+
+// isUnframed reports whether a response has neither a length nor chunks, so that it ends with
+// its connection.
+func isUnframed(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
+
+// awaitLiveness returns nil once ask does: the server has responded, in whatever way. It
+// returns an error when the server refuses connections, has not responded within
+// maxLivenessWait, or the context ends.
+func awaitLiveness(ctx context.Context, ask func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, maxLivenessWait)
 	defer cancel()
 	for {
-		err := f.checkLiveness(ctx, server, f.config.Dialect.LivenessPath(req.service))
+		err := askOnce(ctx, ask)
 		switch {
 		case err == nil:
 			return nil
@@ -53,10 +81,15 @@
 	}
 }
 
-// checkLiveness returns nil if a server responds to a request for a path, in whatever way.
-func (f *Front) checkLiveness(ctx context.Context, server ring.Server, path string) error {
+// askOnce calls ask with the time for one check.
+func askOnce(ctx context.Context, ask func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, livenessTimeout)
 	defer cancel()
+	return ask(ctx)
+}
+
+// checkLiveness returns nil if a server responds to a request for a path, in whatever way.
+func (f *Front) checkLiveness(ctx context.Context, server ring.Server, path string) error {
 	conn, err := f.config.Dial(ctx, "tcp", server.Address)
 	if err != nil {
 		return err
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -143,7 +143,7 @@
 		return &attemptError{stage: stageSent, err: fmt.Errorf("backend server failed: status %d", resp.StatusCode)}
 	}
 	if resp.StatusCode != http.StatusOK || !strings.HasPrefix(resp.Header.Get("Content-Type"), "text/event-stream") {
-		return o.forwardWhole(resp)
+		return o.forwardWhole(ctx, resp, route.Address)
 	}
 	o.replayed = resumedLength(resp, offset, len(o.sentText))
 	return o.forwardStream(resp, route, wd)
@@ -159,9 +159,12 @@
 }
 
 // forwardWhole reads a response that is not a stream to its end and forwards it.
-func (o *relay) forwardWhole(resp *http.Response) *attemptError {
+func (o *relay) forwardWhole(ctx context.Context, resp *http.Response, address string) *attemptError {
 	body, done, err := o.server.bodies.read(resp.Body)
 	defer done()
+	if err == nil {
+		err = o.server.checkEnd(ctx, resp, address)
+	}
 	if err != nil {
 		return &attemptError{stage: stageSent, err: err}
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -148,6 +148,9 @@
 	defer resp.Body.Close()
 	content, done, err := p.server.bodies.read(resp.Body)
 	p.releaseBody = done
+	if err == nil {
+		err = p.server.checkEnd(ctx, resp, address)
+	}
 	if err != nil {
 		done()
 		return nil, nil, &attemptError{stage: stageSent, err: err}
