retry: buckets begin at the same moments as before

They are aligned with the time of day at the first use now; later steps of the clock still change nothing (TestStepsOfTheClockDoNotRenewTheBudget).

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -39,8 +39,9 @@
 // each bucket, a time slice of the window.
 type slidingCounter struct {
 	buckets [windowBuckets + 1]int
-	// last is the number of the newest bucket since origin, the time of the first count. The
-	// difference of two times does not change with the time of day.
+	// last is the number of the newest bucket since the Unix epoch, as the time of day was at
+	// origin, the first count. The difference of two times does not change with the time of
+	// day.
 	last   int64
 	origin time.Time
 }
@@ -50,7 +51,7 @@
 	if c.origin.IsZero() {
 		c.origin = now
 	}
-	current := int64(now.Sub(c.origin) / (window / windowBuckets))
+	current := (c.origin.UnixNano() + int64(now.Sub(c.origin))) / int64(window/windowBuckets)
 	for expired := min(current-c.last, int64(len(c.buckets))); expired > 0; expired-- {
 		c.buckets[(current-expired+1)%int64(len(c.buckets))] = 0
 	}
