drain: a drain whose responses are complete succeeds

Since a drain waits 0.2 s for the next request after a response, and returned an error if its context ended in that time, though every request had its response. An error means again that a response is not complete. TestDrainThatHasAnsweredAllSucceeds.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -26,6 +26,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -91,8 +92,8 @@
 }
 
 // Drain closes the listener, and each connection when it has been idle for
-// nextRequestGrace. It returns when all are closed, or with an error when the context ends.
-// Until then, requests that arrive on the connections that are left are served.
+// nextRequestGrace. It returns when all are closed, or when the context ends, then with an
+// error if a response is not complete. Until then, requests that arrive on the connections that are left are served.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	l := s.listener
@@ -115,12 +116,24 @@
 		}
 		select {
 		case <-ctx.Done():
+			if !s.hasBusyConns() {
+				return nil
+			}
 			return ctx.Err()
 		case <-ticker.C:
 		}
 	}
 }
 
+// hasBusyConns reports whether a response is not complete.
+func (s *Server) hasBusyConns() bool {
+	return slices.ContainsFunc(s.openConns(), func(c *conn) bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.isBusy
+	})
+}
+
 // closeIdle makes the connections close that have been idle for nextRequestGrace, except
 // new ones if keepNew is set. It returns the number of connections that are left.
 func (s *Server) closeIdle(now time.Time, keepNew bool) int {
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -361,3 +361,23 @@
 	is.Equal(c.receive(t), "hello")
 	is.NoErr(<-h.startDrain())
 }
+
+// TestDrainThatHasAnsweredAllSucceeds guards against an error of a drain whose context ends
+// while it only waits for the next request of a caller that has its response.
+func TestDrainThatHasAnsweredAllSucceeds(t *testing.T) {
+	inBubble(t, "", func(t *testing.T) {
+		is := is.New(t)
+		h := newHarness(t, make(chan struct{}), nil)
+		c := h.dial(t)
+		c.send(t, request("hello"))
+		waitFor(t, "the request", func() bool { return h.served.Load() == 1 })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		time.AfterFunc(time.Second-nextRequestGrace/2, func() { close(h.hold) })
+		drained := make(chan error, 1)
+		go func() { drained <- h.server.Drain(ctx) }()
+		is.Equal(c.receive(t), "hello")
+		is.NoErr(<-drained)
+		c.Close()
+	})
+}
