--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -112,11 +112,11 @@
 		a.log.Write(event.ConfigurationInvalid, slog.Any("error", err), slog.String("from", from))
 		return 0, false
 	}
-	active := a.activateIfNewer(declared, text)
-	if declared.Number < active {
-		a.log.Write(event.ConfigurationOutdated, slog.Int64("number", declared.Number), slog.Int64("in_force", active))
-	}
-	if declared.Number <= active {
+	before, isNewer := a.activateIfNewer(declared, text)
+	if !isNewer {
+		if declared.Number < before {
+			a.log.Write(event.ConfigurationOutdated, slog.Int64("number", declared.Number), slog.Int64("in_force", before))
+		}
 		return declared.Number, true
 	}
 	a.log.Write(event.ConfigurationActivated, slog.Int64("number", declared.Number), slog.Int("routes", len(declared.Routes)), slog.String("from", from))
@@ -129,23 +129,18 @@
 
 // activateIfNewer makes a configuration the active one if its number is larger than that of
 // the one before, which it returns; 0 if there was none.
-func (a *Agent) activateIfNewer(declared *ring.Routing, text []byte) (before int64) {
-	var next *configuration
+func (a *Agent) activateIfNewer(declared *ring.Routing, text []byte) (before int64, isNewer bool) {
 	for {
 		active := a.activeConfig.Load()
-		if active != nil && declared.Number <= active.table.Number() {
-			return active.table.Number()
-		}
-		if next == nil {
-			next = &configuration{table: route.NewTable(declared), text: text}
+		if active != nil {
+			before = active.table.Number()
 		}
-		if !a.activeConfig.CompareAndSwap(active, next) {
-			continue
+		if active != nil && declared.Number <= before {
+			return before, false
 		}
-		if active == nil {
-			return 0
+		if a.activeConfig.CompareAndSwap(active, &configuration{table: route.NewTable(declared), text: text}) {
+			return before, true
 		}
-		return active.table.Number()
 	}
 }
 
--- a/internal/gateway/bodymemory.go
+++ b/internal/gateway/bodymemory.go
@@ -18,14 +18,13 @@
 	// maxDeclaredBody and maxDeclaredBodies are the same for a Server.
 	maxDeclaredBody   = 64 << 20
 	maxDeclaredBodies = 160 << 20
+	// maxCallerBodies bounds the memory for the large bodies of callers at a Front.
+	maxCallerBodies = 48 << 20
 	// smallBody is the size up to which a body is not counted, so that large ones do not
 	// keep small ones from being read.
 	smallBody = 64 << 10
 )
 
-// maxCallerBodies bounds the memory for the large bodies of callers at a Front.
-const maxCallerBodies = 48 << 20
-
 // errBodyMemory is returned for a large body that all memory for such bodies would not
 // suffice for.
 var errBodyMemory = errors.New("the memory for large bodies is in use")
@@ -107,7 +106,7 @@
 // For a large one it reserves limit bytes, as readLength does, after the first smallBody bytes.
 func (m *bodyMemory) readUnknown(ctx context.Context, in io.Reader, limit int) (body []byte, done func(), err error) {
 	done = func() {}
-	body, err = readInto(in, make([]byte, 0, min(limit, smallBody)))
+	body, err = readGrowing(in, min(limit, smallBody), nil)
 	if err != errBodyFull {
 		return body, done, err
 	}
@@ -119,24 +118,6 @@
 	return body, done, err
 }
 
-// errBodyFull is returned by readInto if the reader may have more than fits.
-var errBodyFull = errors.New("the body is longer than its buffer")
-
-// readInto appends to body, within its capacity, until the reader ends with io.EOF.
-func readInto(in io.Reader, body []byte) ([]byte, error) {
-	for len(body) < cap(body) {
-		n, err := in.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if err == io.EOF {
-			return body, nil
-		}
-		if err != nil {
-			return body, err
-		}
-	}
-	return body, errBodyFull
-}
-
 // read reads a body to its end. It returns an error if the body is longer than maxBody or
 // there is no memory for it. The caller must call done, which is never nil, when it no
 // longer uses the body.
@@ -146,31 +127,54 @@
 		m.release(held)
 		held = 0
 	}
-	body = make([]byte, 0, 1<<10)
+	body, err = readGrowing(in, m.maxBody+1, func(size int) bool {
+		if !m.take(size - held) {
+			return false
+		}
+		held = size
+		return true
+	})
+	switch {
+	case len(body) > m.maxBody:
+		return nil, done, fmt.Errorf("body exceeds %d bytes", m.maxBody)
+	case err != nil:
+		return nil, done, err
+	}
+	return body, done, nil
+}
+
+// errBodyFull is returned with a body that may have more than fits.
+var errBodyFull = errors.New("the body is longer than its buffer")
+
+// readGrowing reads a body into a buffer that doubles up to limit bytes. Before it grows
+// beyond smallBody, reserve must return true for its new size.
+func readGrowing(in io.Reader, limit int, reserve func(size int) bool) ([]byte, error) {
+	body := make([]byte, 0, min(limit, 1<<10))
 	for {
-		if len(body) > m.maxBody {
-			return nil, done, fmt.Errorf("body exceeds %d bytes", m.maxBody)
+		var err error
+		body, err = readInto(in, body)
+		if err != errBodyFull || len(body) >= limit {
+			return body, err
 		}
-		if len(body) == cap(body) {
-			size := min(2*cap(body), m.maxBody+1)
-			if size > smallBody {
-				if !m.take(size - held) {
-					return nil, done, errBodyMemory
-				}
-				held = size
-			}
-			body = append(make([]byte, 0, size), body...)
+		size := min(2*cap(body), limit)
+		if size > smallBody && !reserve(size) {
+			return nil, errBodyMemory
 		}
+		body = append(make([]byte, 0, size), body...)
+	}
+}
+
+// readInto appends to body, within its capacity, until the reader ends with io.EOF.
+func readInto(in io.Reader, body []byte) ([]byte, error) {
+	for len(body) < cap(body) {
 		n, err := in.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		if err == io.EOF {
-			if len(body) > m.maxBody {
-				continue
-			}
-			return body, done, nil
+			return body, nil
 		}
 		if err != nil {
-			return nil, done, err
+			return body, err
 		}
 	}
+	return body, errBodyFull
 }
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -73,17 +73,14 @@
 // that ID.
 func (f *Front) sendAttempt(ctx context.Context, req *frontRequest, server ring.Server, conn net.Conn, lastEventID string, deadline time.Time) (*exchange, *attemptError) {
 	if conn == nil {
-		dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
-		defer cancel()
 		var err error
-		if conn, err = f.config.Dial(dialCtx, "tcp", server.Address); err != nil {
+		if conn, err = f.connect(ctx, server); err != nil {
 			return nil, &attemptError{stage: stageNotSent, err: err}
 		}
 	}
 	req.sentAt = time.Now()
 	_ = conn.SetDeadline(deadline)
-	x := &exchange{conn: conn, bodies: f.bodies, releaseBody: func() {}}
-	x.stopAbort = context.AfterFunc(ctx, x.abort)
+	x := f.newExchange(ctx, conn)
 	sent := make(chan error, 1)
 	request := f.requestHead(req, server, lastEventID)
 	if len(req.body) <= maxInlineBody {
@@ -98,7 +95,7 @@
 			sent <- err
 		}()
 	}
-	if err := x.readHeader(req); err != nil {
+	if err := x.readHeader(req.method); err != nil {
 		x.close()
 		if writeErr := <-sent; writeErr != nil {
 			err = fmt.Errorf("%w (sending: %w)", err, writeErr)
@@ -108,26 +105,43 @@
 	}
 	x.header = f.config.Dialect.ReadAnswer(x.response.StatusCode, x.response.Header)
 	f.recordNotices(req, server, x.header)
-	if x.header.ID != "" && x.header.ID != req.header.ID {
-		f.config.Metrics.Count("foreign_answers", 1)
-		x.close()
-		req.mayHaveRun = true
-		return nil, &attemptError{stage: stageSent, err: fmt.Errorf("response to another request: %s", x.header.ID)}
-	}
-	if isSuccess(x.response.StatusCode) && !x.header.Signed {
-		f.config.Metrics.Count("unsigned_answers", 1)
+	if err := f.checkOrigin(req, x); err != nil {
 		x.close()
 		req.mayHaveRun = true
-		return nil, &attemptError{stage: stageSent, err: errUnsigned}
+		return nil, &attemptError{stage: stageSent, err: err}
 	}
 	f.recordLimit(req, server, x)
 	req.mayHaveRun = req.mayHaveRun || !x.header.NotRun
 	return x, nil
 }
 
-// errUnsigned is the error of a success without the server's signature: it is not known to
-// be the server's.
-var errUnsigned = errors.New("the response is not signed")
+// connect opens a connection to a server.
+func (f *Front) connect(ctx context.Context, server ring.Server) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	return f.config.Dial(ctx, "tcp", server.Address)
+}
+
+// newExchange returns an exchange on a connection, which is aborted when the context ends.
+func (f *Front) newExchange(ctx context.Context, conn net.Conn) *exchange {
+	x := &exchange{conn: conn, bodies: f.bodies, releaseBody: func() {}}
+	x.stopAbort = context.AfterFunc(ctx, x.abort)
+	return x
+}
+
+// checkOrigin returns an error if a response is not known to be the server's to the request:
+// it names another one, or it is a success that the server has not signed.
+func (f *Front) checkOrigin(req *frontRequest, x *exchange) error {
+	if x.header.ID != "" && x.header.ID != req.header.ID {
+		f.config.Metrics.Count("foreign_answers", 1)
+		return fmt.Errorf("response to another request: %s", x.header.ID)
+	}
+	if isSuccess(x.response.StatusCode) && !x.header.Signed {
+		f.config.Metrics.Count("unsigned_answers", 1)
+		return errors.New("the response is not signed")
+	}
+	return nil
+}
 
 // isSuccess reports whether a status is one of success.
 func isSuccess(status int) bool {
@@ -136,7 +150,7 @@
 
 // isFalsePromise reports whether a response would promise the caller of a request that may
 // not be repeated that it has not run, which the server does not say.
-func (f *Front) isFalsePromise(req *frontRequest, x *exchange) bool {
+func isFalsePromise(req *frontRequest, x *exchange) bool {
 	switch x.response.StatusCode {
 	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return !req.route.MayRepeat() && !x.header.NotRun
@@ -182,10 +196,10 @@
 
 // readHeader reads the header of the final response and skips informational ones. It
 // returns an error if they are too many or too long.
-func (x *exchange) readHeader(req *frontRequest) error {
+func (x *exchange) readHeader(method string) error {
 	limiter := &headLimiter{in: x.conn, left: maxResponseHead}
 	reader := bufio.NewReader(limiter)
-	request := &http.Request{Method: req.method}
+	request := &http.Request{Method: method}
 	for range maxResponseHeaders {
 		response, err := http.ReadResponse(reader, request)
 		if err != nil {
@@ -200,9 +214,6 @@
 	return errors.New("too many informational responses")
 }
 
-// isUnframed reports whether the response ends with its connection.
-func (x *exchange) isUnframed() bool { return isUnframed(x.response) }
-
 // readBody reads the body of the response, which may be used until close. It returns an
 // error if the body is too long.
 func (x *exchange) readBody() ([]byte, error) {
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -128,15 +128,13 @@
 		return false
 	}
 	p.dialing = &pendingDial{server: server, result: make(chan net.Conn, 1)}
-	go p.dialing.run(ctx, f.config.Dial)
+	go p.dialing.run(ctx, f)
 	return false
 }
 
 // run opens the connection. The result is nil if that fails.
-func (d *pendingDial) run(ctx context.Context, dial Dialer) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	conn, err := dial(ctx, "tcp", d.server.Address)
+func (d *pendingDial) run(ctx context.Context, f *Front) {
+	conn, err := f.connect(ctx, d.server)
 	if err != nil {
 		conn = nil
 	}
@@ -263,7 +261,7 @@
 		f.logFailedAttempt(req, server, fmt.Errorf("refused with status %d", x.response.StatusCode))
 		return ring.FailRetryAt(ring.CodeBackendRefused, time.Now().Add(busyRetryAfter), "service %s refused the request", req.service.Name), false
 	}
-	if f.isFalsePromise(req, x) {
+	if isFalsePromise(req, x) {
 		watch.stop()
 		f.servers.release(server, 0.25, 0, time.Now())
 		f.logFailedAttempt(req, server, fmt.Errorf("status %d, which does not say that it was not run", x.response.StatusCode))
--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -297,7 +297,7 @@
 	if o.started || (isServerError && !isLast && o.request.route.MayRepeat()) {
 		return false, &attemptError{stage: stageSent, err: fmt.Errorf("status %d", x.response.StatusCode)}
 	}
-	if o.front.isFalsePromise(o.request, x) {
+	if isFalsePromise(o.request, x) {
 		return true, &attemptError{stage: stageSent, err: fmt.Errorf("status %d, which does not say that it was not run", x.response.StatusCode)}
 	}
 	body, err := x.readBody()
@@ -381,7 +381,7 @@
 // checkStreamEnd returns an error if a stream that has ended between two events is not complete.
 // An unframed one without any event is not, unless it goes on where the caller may have all.
 func (o *replicaRelay) checkStreamEnd(ctx context.Context, x *exchange, head ring.Server, hasEvents bool) error {
-	if x.isUnframed() && !hasEvents && o.lastEventID == "" {
+	if isUnframed(x.response) && !hasEvents && o.lastEventID == "" {
 		return io.ErrUnexpectedEOF
 	}
 	return o.front.checkEnd(ctx, o.request, x, head)
--- a/internal/gateway/frontsuspect.go
+++ b/internal/gateway/frontsuspect.go
@@ -180,9 +180,7 @@
 	if s, known := f.config.Fleet.Server(server.ID); !known || s.Leaving || s.Incarnation != server.Incarnation {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	conn, err := f.config.Dial(ctx, "tcp", server.Address)
+	conn, err := f.connect(ctx, server)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/gateway/liveness.go
+++ b/internal/gateway/liveness.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -31,7 +30,7 @@
 // or not. A process that ends may still accept connections, so that an accepted one shows
 // nothing.
 func (f *Front) checkEnd(ctx context.Context, req *frontRequest, x *exchange, server ring.Server) error {
-	if !x.isUnframed() {
+	if !isUnframed(x.response) {
 		return nil
 	}
 	ctx, cancel := context.WithDeadline(ctx, req.deadline)
@@ -94,15 +93,10 @@
 	if err != nil {
 		return err
 	}
-	defer conn.Close()
-	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
+	x := f.newExchange(ctx, conn)
+	defer x.close()
 	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", lineBreaks.Replace(path), server.Address); err != nil {
 		return err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(&headLimiter{in: conn, left: maxResponseHead}), nil)
-	if err != nil {
-		return err
-	}
-	return response.Body.Close()
+	return x.readHeader(http.MethodGet)
 }
