--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -93,7 +93,8 @@
 
 // Drain closes the listener, and each connection when it has been idle for
 // nextRequestGrace. It returns when all are closed, or when the context ends, then with an
-// error if a response is not complete. Until then, requests that arrive on the connections that are left are served.
+// error if a response is not complete. Until then, requests that arrive on the connections
+// that are left are served.
 func (s *Server) Drain(ctx context.Context) error {
 	s.mu.Lock()
 	l := s.listener
--- a/internal/gateway/cuthead_test.go
+++ b/internal/gateway/cuthead_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -15,7 +14,6 @@
 
 	"github.com/matryer/is"
 
-	"eelgrassring.dev/internal/deployment"
 	"eelgrassring.dev/internal/node"
 )
 
@@ -168,10 +166,7 @@
 	eachCut(t, cutBody, "", func(t *testing.T, prefix string, isReset bool) {
 		synctest.Test(t, func(t *testing.T) {
 			s, requests := newCuttingServer(prefix, isReset)
-			p := &serviceCall{
-				server: s, call: &call{id: "id1", body: []byte("x")}, method: http.MethodPost, path: "/x", header: http.Header{}, releaseBody: func() {},
-				service: deployment.Service{Name: "app", Servers: []string{"s:1", "s:2"}, Timeout: deployment.Duration(testFirstTimeout)},
-			}
+			p := newServiceCall(s)
 			resp, _, err := p.sendAndRead(context.Background(), "s:1")
 			if resp != nil || err == nil || err.stage != stageSent {
 				t.Errorf("%q: got %v, %v", prefix, resp, err)
@@ -228,10 +223,7 @@
 				}()
 				return client, nil
 			})
-			p := &serviceCall{
-				server: s, call: &call{id: "id1", body: []byte("x")}, method: http.MethodPost, path: "/x", header: http.Header{}, releaseBody: func() {},
-				service: deployment.Service{Name: "app", Servers: []string{"s:1"}, Timeout: deployment.Duration(testFirstTimeout)},
-			}
+			p := newServiceCall(s)
 			_, body, err := p.sendAndRead(context.Background(), "s:1")
 			is.Equal(err == nil, isAlive)
 			is.Equal(string(body) == "half and half", isAlive)
--- a/internal/gateway/endless_declared_test.go
+++ b/internal/gateway/endless_declared_test.go
@@ -46,6 +46,14 @@
 	}
 }
 
+// newServiceCall returns a call to a service of two servers.
+func newServiceCall(s *Server) *serviceCall {
+	return &serviceCall{
+		server: s, call: &call{id: "id1", body: []byte("x")}, method: http.MethodPost, path: "/x", header: http.Header{}, releaseBody: func() {},
+		service: deployment.Service{Name: "app", Servers: []string{"s:1", "s:2"}, Timeout: deployment.Duration(testFirstTimeout)},
+	}
+}
+
 // withEndlessServer runs a test in virtual time for each response, sent fast and slowly.
 // It checks that at most maxBytes are read, that the connections are closed and that no
 // memory is kept.
@@ -73,10 +81,7 @@
 	for _, status := range []string{"200 OK", "500 Error"} {
 		responses := append(endless.Heads(), endless.Bodies(status, "")...)
 		withEndlessServer(t, responses, maxResponseHead+chunkOverhead*maxTestBody, func(is *is.I, s *Server, backend *endless.Server) {
-			p := &serviceCall{
-				server: s, call: &call{id: "id1", body: []byte("x")}, method: http.MethodPost, path: "/x", header: http.Header{}, releaseBody: func() {},
-				service: deployment.Service{Name: "app", Servers: []string{"s:1", "s:2"}, Timeout: deployment.Duration(testFirstTimeout)},
-			}
+			p := newServiceCall(s)
 			begin := time.Now()
 			resp, _, err := p.sendAndRead(context.Background(), "s:1")
 			is.True(resp == nil && err != nil)
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -32,11 +32,25 @@
 	w       http.ResponseWriter
 	request *frontRequest
 	tried   map[ring.VM]bool
-	// next is the server that was reserved for the next attempt, to which nextConn is
-	// connected, or nil. dialing is a reserved server that is being connected to, or nil.
-	next     *ring.Server
-	nextConn net.Conn
-	dialing  *pendingDial
+	// next is the server that was reserved for the next attempt, or nil. dialing is a
+	// reserved server that is being connected to, or nil.
+	next    *reservedServer
+	dialing *pendingDial
+}
+
+// reservedServer is a server at which a request in flight is counted. conn is a connection
+// to it for the attempt, or nil.
+type reservedServer struct {
+	ring.Server
+	conn net.Conn
+}
+
+// giveBack undoes the reservation of a server.
+func (p *plainRelay) giveBack(s reservedServer) {
+	p.front.servers.cancel(s.Server)
+	if s.conn != nil {
+		s.conn.Close()
+	}
 }
 
 // pendingDial is a connection that is being opened to a server.
@@ -69,7 +83,7 @@
 			failure = f.refuseAtStop(req)
 		}
 		if failure != nil {
-			f.servers.cancel(server)
+			p.giveBack(server)
 			return failure
 		}
 		p.tried[server.ID] = true
@@ -86,12 +100,12 @@
 
 // nextServer returns the server for the next attempt, at which it has counted a request
 // in flight. It returns false if there is none, or if the retry budget is spent.
-func (p *plainRelay) nextServer(ctx context.Context) (ring.Server, bool) {
+func (p *plainRelay) nextServer(ctx context.Context) (reservedServer, bool) {
 	p.cancelDial()
 	if p.next != nil {
-		server := *p.next
+		next := *p.next
 		p.next = nil
-		return server, true
+		return next, true
 	}
 	f, req, start := p.front, p.request, time.Now()
 	maxWait := min(time.Duration(plainWaitFraction*float64(req.route.LatencyTarget)), time.Until(req.deadline)-minRetryDelay)
@@ -100,9 +114,9 @@
 	if ok && req.attempts > 0 && !f.budgets.take(req.service) {
 		f.servers.cancel(server)
 		req.note = retryBudgetSpent
-		return ring.Server{}, false
+		ok = false
 	}
-	return server, ok
+	return reservedServer{Server: server}, ok
 }
 
 // reserveNext reserves a server for an attempt that replaces the current one, and connects
@@ -162,20 +176,16 @@
 		conn.Close()
 		return false
 	}
-	p.next, p.nextConn = &server, conn
+	p.next = &reservedServer{Server: server, conn: conn}
 	return true
 }
 
 // releaseNext gives back a reserved server that is not needed.
 func (p *plainRelay) releaseNext() {
 	if p.next != nil {
-		p.front.servers.cancel(*p.next)
+		p.giveBack(*p.next)
 		p.next = nil
 	}
-	if p.nextConn != nil {
-		p.nextConn.Close()
-		p.nextConn = nil
-	}
 	p.cancelDial()
 }
 
@@ -235,14 +245,12 @@
 // nil failure if it forwarded one. The bool reports whether the outcome is final, so
 // that no other server may be tried. isLast is set if the route allows no attempt after
 // this one.
-func (p *plainRelay) attempt(ctx context.Context, server ring.Server, isLast bool) (*ring.Failure, bool) {
-	f, req := p.front, p.request
-	conn := p.nextConn
-	p.nextConn = nil
+func (p *plainRelay) attempt(ctx context.Context, reserved reservedServer, isLast bool) (*ring.Failure, bool) {
+	f, req, server := p.front, p.request, reserved.Server
 	ctx, watch := p.watch(ctx, isLast)
 	defer watch.close()
 	begin := time.Now()
-	x, attemptErr := f.sendAttempt(ctx, req, server, conn, "", req.deadline)
+	x, attemptErr := f.sendAttempt(ctx, req, server, reserved.conn, "", req.deadline)
 	if attemptErr == nil || attemptErr.stage != stageNotSent {
 		req.attempts++
 	}
--- a/internal/soak/cluster_test.go
+++ b/internal/soak/cluster_test.go
@@ -50,10 +50,37 @@
 // callerKeys are the API keys of the two workspaces.
 var callerKeys = []string{"key-a", "key-b"}
 
-// buildPrograms builds the programs and returns their directory.
+// programs is the directory of the programs, which buildPrograms builds once.
+var programs struct {
+	once sync.Once
+	dir  string
+	err  error
+}
+
+// TestMain removes the programs after the tests.
+func TestMain(m *testing.M) {
+	code := m.Run()
+	_ = os.RemoveAll(programs.dir) // It is empty if no test built them.
+	os.Exit(code)
+}
+
+// buildPrograms builds the programs, if no test has done so before, and returns their
+// directory.
 func buildPrograms(t *testing.T) string {
 	t.Helper()
-	dir := t.TempDir()
+	programs.once.Do(func() { programs.dir, programs.err = buildInto() })
+	if programs.err != nil {
+		t.Fatal(programs.err)
+	}
+	return programs.dir
+}
+
+// buildInto builds the programs into a new directory.
+func buildInto() (string, error) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return "", err
+	}
 	args := []string{"build", "-o", dir + "/"}
 	for _, name := range []string{"backend", "eelgrass", "eelgrassd", "platform", "relay"} {
 		args = append(args, "./cmd/"+name)
@@ -61,9 +88,9 @@
 	build := exec.Command("go", args...)
 	build.Dir = filepath.Join("..", "..")
 	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("build the programs: %v\n%s", err, out)
+		return dir, fmt.Errorf("build the programs: %w\n%s", err, out)
 	}
-	return dir
+	return dir, nil
 }
 
 // process is one run of a program.
@@ -88,11 +115,19 @@
 	exits     []exit
 }
 
-// newCluster starts the processes of a deployment. They are killed when the test ends.
-func newCluster(t *testing.T, bin, logs string) *cluster {
+// newEmptyCluster returns a deployment without processes. Those that it gets are killed when
+// the test ends.
+func newEmptyCluster(t *testing.T, bin, logs string) *cluster {
 	t.Helper()
 	c := &cluster{bin: bin, dir: t.TempDir(), logs: logs, commands: map[string][]string{}, block: reservePorts(t), ports: map[string]int{}, processes: map[string]*process{}}
 	t.Cleanup(c.killAll)
+	return c
+}
+
+// newCluster starts the processes of a deployment.
+func newCluster(t *testing.T, bin, logs string) *cluster {
+	t.Helper()
+	c := newEmptyCluster(t, bin, logs)
 	c.define("platform", "platform", "-store", c.address("store"), "-lists", c.address("lists"))
 	for i := range engineCount {
 		name := numbered("engine", i)
@@ -108,20 +143,31 @@
 	for i := range nodeCount {
 		name := numbered("node", i)
 		c.defineLink(numbered("store", i), "store")
-		settings := fmt.Sprintf(`{"name":%q,"zone":"a","callers":%q,"peers":%q,"admin":%q,"store":%q,"vms":%q,"lag":%q,"drain":%q}`, name,
-			c.address(name), c.address(name+" peers"), c.address(name+" admin"), c.address("link-"+numbered("store", i)), c.address("lists"), balancerLag, drainTimeout)
-		path := filepath.Join(c.dir, name+".json")
-		if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
-			t.Fatal(err)
-		}
-		c.define(name, "eelgrassd", "--settings", path)
+		c.defineNode(t, "eelgrassd", name, fmt.Sprintf(`{"name":%q,"zone":"a","callers":%q,"peers":%q,"admin":%q,"store":%q,"vms":%q,"lag":%q,"drain":%q}`, name,
+			c.address(name), c.address(name+" peers"), c.address(name+" admin"), c.address("link-"+numbered("store", i)), c.address("lists"), balancerLag, drainTimeout))
 	}
+	c.startAll(t)
+	return c
+}
+
+// defineNode writes the settings of a node and sets its command line.
+func (c *cluster) defineNode(t *testing.T, program, name, settings string) {
+	t.Helper()
+	path := filepath.Join(c.dir, name+".json")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.define(name, program, "--settings", path)
+}
+
+// startAll starts the processes in the order in which they were defined.
+func (c *cluster) startAll(t *testing.T) {
+	t.Helper()
 	for _, name := range c.names {
 		if err := c.start(name); err != nil {
 			t.Fatal(err)
 		}
 	}
-	return c
 }
 
 // define sets the command line of a process.
--- a/internal/soak/routed_test.go
+++ b/internal/soak/routed_test.go
@@ -7,7 +7,6 @@
 	"maps"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -125,8 +124,7 @@
 // newRoutedSoak starts the store, the servers and the nodes of a deployment.
 func newRoutedSoak(t *testing.T, bin string) *routedSoak {
 	t.Helper()
-	c := &cluster{bin: bin, dir: t.TempDir(), logs: t.ArtifactDir(), commands: map[string][]string{}, block: reservePorts(t), ports: map[string]int{}, processes: map[string]*process{}}
-	t.Cleanup(c.killAll)
+	c := newEmptyCluster(t, bin, t.ArtifactDir())
 	s := &routedSoak{cluster: c}
 	var err error
 	if s.store, err = standin.StartStore(c.address("store")); err != nil {
@@ -144,33 +142,33 @@
 		s.servers = append(s.servers, server)
 	}
 	for i := range *routedNodes {
-		s.defineNode(t, numbered("front", i))
-	}
-	for _, name := range s.nodes {
-		if err := c.start(name); err != nil {
-			t.Fatal(err)
-		}
+		name := numbered("front", i)
+		c.defineNode(t, s.program(t), name, s.settings(name))
+		s.nodes = append(s.nodes, name)
 	}
+	c.startAll(t)
 	return s
 }
 
-// defineNode writes the settings of a node and sets its command line.
-func (s *routedSoak) defineNode(t *testing.T, name string) {
+// program returns the node program, as a path from the directory of the others.
+func (s *routedSoak) program(t *testing.T) string {
 	t.Helper()
-	c := s.cluster
-	settings := fmt.Sprintf(`{"adapter":"platform","name":%q,"zone":"a","callers":%q,"ready":%q,"digests":%q,"admin":%q,"store":%q,
-		"revocation":"5s","retry":0.2,"burst":130,"memory":284,"drain":%q,"lag":%q}`, name,
-		c.address(name), c.address(name+" ready"), c.address(name+" digests"), c.address(name+" admin"), c.address("store"), routedDrain, routedLag)
-	path := filepath.Join(c.dir, name+".json")
-	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
-		t.Fatal(err)
+	if *routedNode == "" {
+		return "eelgrassd"
 	}
-	program := "eelgrassd"
-	if *routedNode != "" {
-		program, _ = filepath.Rel(c.bin, *routedNode)
+	path, err := filepath.Rel(s.cluster.bin, *routedNode)
+	if err != nil {
+		t.Fatal(err)
 	}
-	c.define(name, program, "--settings", path)
-	s.nodes = append(s.nodes, name)
+	return path
+}
+
+// settings returns the settings of a node.
+func (s *routedSoak) settings(name string) string {
+	c := s.cluster
+	return fmt.Sprintf(`{"adapter":"platform","name":%q,"zone":"a","callers":%q,"ready":%q,"digests":%q,"admin":%q,"store":%q,
+		"revocation":"5s","retry":0.2,"burst":130,"memory":%d,"drain":%q,"lag":%q}`, name,
+		c.address(name), c.address(name+" ready"), c.address(name+" digests"), c.address(name+" admin"), c.address("store"), routedMemoryMB, routedDrain, routedLag)
 }
 
 // awaitServing waits until a node answers a request of each kind.
