agent: a request for entries reaches a node that gets them a moment later

What callers saw: after a change of the root, a node without the store could send to a server that leaves for 0.4 s longer than the others, up to 2.76 s after the store acknowledged it (bound 2.5 s; a request may reach it up to 3 s after).

Cause, by a trace of each request and answer (race detector, eight processes): the late nodes got the new root's summary from their parent of the tree before, which still knew them as children because they had reported to it. They asked that parent for the bucket that differed. It lacked the bucket itself and said nothing; when its own parent's answer came, it forwarded the entry to its children of the new tree only. The real parent's summary was a repetition for the late nodes, so they asked nobody until the next one, 366 ms later.

Change: a node keeps a request for buckets that it lacks, by the address that asked, until that node asks again, and answers it when entries or a listing make its checksum agree with the root's. Regular children are left out: they get what is applied.

The new test failed before ("<nil> != [h0]"), without clusters or races.

--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -150,6 +151,9 @@
 		}
 	}
 	a.forwardEntries(applied)
+	if len(applied) > 0 {
+		a.answerKeptRequests()
+	}
 }
 
 // AnnounceLeaving tells the other nodes that a backend server announced that it is
@@ -243,10 +247,19 @@
 }
 
 // answerEntriesRequest sends a node the registry entries of the buckets that it
-// requested (see bucketOf). It sends nothing for a bucket whose checksum at this node
-// differs from the root's too. The root sends nothing until it has listed the whole
-// registry in its term.
+// requested (see bucketOf). A bucket whose checksum at this node differs from the root's too
+// is sent when it agrees. The root sends nothing until it has listed the whole registry in
+// its term.
 func (a *Agent) answerEntriesRequest(to string, r *digest.EntriesRequest) {
+	if a.isController.Load() && !a.hasFullRegistry.Load() {
+		return
+	}
+	a.answerForBuckets(to, r.Buckets, time.Now().Add(requestInterval))
+}
+
+// answerForBuckets sends a node the entries of the buckets whose checksums agree with the
+// root's. The others are sent as soon as they agree, if that is before the deadline.
+func (a *Agent) answerForBuckets(to string, buckets []int, deadline time.Time) {
 	own := a.registryChecksums()
 	isRoot := a.isController.Load()
 	newest := a.fleet.NewestRevision()
@@ -254,27 +267,65 @@
 	root, listed := a.tree.rootChecksums, a.tree.listedRevision
 	a.mu.Unlock()
 	newest = max(newest, listed)
-	if isRoot && !a.hasFullRegistry.Load() {
+	var missing []int
+	for _, bucket := range buckets {
+		switch {
+		case bucket < 0 || bucket >= digest.BucketCount:
+		case !isRoot && own[bucket] != root[bucket]:
+			missing = append(missing, bucket)
+		default:
+			a.sendBucket(to, bucket, newest)
+		}
+	}
+	a.keepEntriesRequest(to, missing, deadline)
+}
+
+// keepEntriesRequest keeps a request for buckets that this node lacks itself. A regular
+// child gets what this node applies anyway.
+func (a *Agent) keepEntriesRequest(from string, buckets []int, deadline time.Time) {
+	if len(buckets) == 0 {
 		return
 	}
-	for _, bucket := range r.Buckets {
-		if bucket < 0 || bucket >= digest.BucketCount || (!isRoot && own[bucket] != root[bucket]) {
-			continue
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if slices.Contains(a.regularChildren(), from) {
+		return
+	}
+	if a.tree.keptRequests == nil {
+		a.tree.keptRequests = map[string]keptRequest{}
+	}
+	a.tree.keptRequests[from] = keptRequest{buckets: buckets, deadline: deadline}
+}
+
+// answerKeptRequests answers the kept requests after registry entries were applied.
+func (a *Agent) answerKeptRequests() {
+	a.mu.Lock()
+	kept := a.tree.keptRequests
+	a.tree.keptRequests = nil
+	a.mu.Unlock()
+	for to, r := range kept {
+		if time.Now().Before(r.deadline) {
+			a.answerForBuckets(to, r.buckets, r.deadline)
 		}
-		var entries []digest.Entry
-		a.fleet.Each(func(s ring.Server, revision ring.Revision) {
-			if bucketOf(s.ID) == bucket && isNeededByAllNodes(s) {
-				entries = append(entries, entryFromServer(s, revision))
-			}
-		})
-		sort.Slice(entries, func(i, j int) bool { return entries[i].ID < entries[j].ID })
-		listing := digest.BucketListing{Bucket: bucket, Revision: int64(newest)}
-		for _, e := range entries {
-			listing.IDs = append(listing.IDs, e.ID)
+	}
+}
+
+// sendBucket sends a node the registry entries of a bucket, and the listing of their
+// servers, which counts up to the newest revision.
+func (a *Agent) sendBucket(to string, bucket int, newest ring.Revision) {
+	var entries []digest.Entry
+	a.fleet.Each(func(s ring.Server, revision ring.Revision) {
+		if bucketOf(s.ID) == bucket && isNeededByAllNodes(s) {
+			entries = append(entries, entryFromServer(s, revision))
 		}
-		a.sendEntries(to, entries)
-		a.send(to, digest.Message{BucketListing: &listing})
+	})
+	sort.Slice(entries, func(i, j int) bool { return entries[i].ID < entries[j].ID })
+	listing := digest.BucketListing{Bucket: bucket, Revision: int64(newest)}
+	for _, e := range entries {
+		listing.IDs = append(listing.IDs, e.ID)
 	}
+	a.sendEntries(to, entries)
+	a.send(to, digest.Message{BucketListing: &listing})
 }
 
 // applyBucketListing removes a bucket's registry entries that the sender's listing
@@ -310,4 +361,5 @@
 	for _, address := range children {
 		a.send(address, digest.Message{BucketListing: l})
 	}
+	a.answerKeptRequests()
 }
--- a/internal/agent/leaving_test.go
+++ b/internal/agent/leaving_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -16,6 +17,7 @@
 	"eelgrassring.dev/internal/event"
 	"eelgrassring.dev/internal/fake"
 	"eelgrassring.dev/internal/fleet"
+	"eelgrassring.dev/internal/mirror"
 	"eelgrassring.dev/internal/standin/platform"
 )
 
@@ -223,6 +225,55 @@
 	is.True(messages >= 6)
 }
 
+// TestRequestOfAFormerChildIsAnswered guards against a node that requests entries from its
+// parent of the tree before the last root, which lacks them itself for a moment, and then
+// waits for the next summary: the parent told only its children by the new tree.
+func TestRequestOfAFormerChildIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		network := &testNetwork{transports: map[string]*testTransport{}, bytes: map[string]int{}, messages: map[string]int{}}
+		former := &testTransport{network: network, address: "former", queue: make(chan func(), 100)}
+		network.transports["former"] = former
+		a := New(Config{Name: "n", Directory: testDirectory{}, Transport: &testTransport{network: network, address: "n"}, Store: fake.NewStore(platform.NewKeyspace()), Fleet: fleet.New(), Log: event.NewLog(slog.New(slog.DiscardHandler)), Timing: DefaultTiming()})
+		a.serversMirror = a.newMirror(mirror.Config{})
+		root := New(Config{Name: "root", Transport: &testTransport{network: network, address: "root"}, Store: fake.NewStore(platform.NewKeyspace()), Fleet: fleet.New(), Log: event.NewLog(slog.New(slog.DiscardHandler)), Timing: DefaultTiming()})
+		head := headOfReplica(0)
+		head.Leaving = true
+		is.True(root.fleet.Put(head, 1))
+
+		a.dispatchMessage("root", digest.Message{Summary: &digest.Summary{Root: "root", Term: 1, Sequence: 1, HasRegistry: true, IsPartial: true, Checksums: root.registryChecksums()}})
+		bucket := bucketOf(head.ID)
+		a.dispatchMessage("former", digest.Message{EntriesRequest: &digest.EntriesRequest{Buckets: []int{bucket}}})
+		is.Equal(len(former.queue), 0)
+		a.dispatchMessage("root", digest.Message{Entries: []digest.Entry{entryFromServer(head, 1)}})
+		var ids []string
+		var listing *digest.BucketListing
+		former.handle = func(_ string, m digest.Message) {
+			for _, e := range m.Entries {
+				ids = append(ids, e.ID)
+			}
+			if m.BucketListing != nil {
+				listing = m.BucketListing
+			}
+		}
+		for len(former.queue) > 0 {
+			(<-former.queue)()
+		}
+		is.Equal(ids, []string{string(head.ID)})
+		is.True(listing != nil)
+		is.Equal(listing.Bucket, bucket)
+
+		// The request is answered once, and not at all when it was repeated meanwhile.
+		head.Leaving = false
+		is.True(root.fleet.Put(head, 2))
+		a.dispatchMessage("root", digest.Message{Summary: &digest.Summary{Root: "root", Term: 1, Sequence: 2, HasRegistry: true, IsPartial: true, Checksums: root.registryChecksums()}})
+		a.dispatchMessage("former", digest.Message{EntriesRequest: &digest.EntriesRequest{Buckets: []int{bucket}}})
+		time.Sleep(requestInterval)
+		a.dispatchMessage("root", digest.Message{Entries: []digest.Entry{entryFromServer(head, 2)}})
+		is.Equal(len(former.queue), 0)
+	})
+}
+
 // announceLeaving writes that the head of the replica with the given index is about to
 // stop.
 func (tc *testCluster) announceLeaving(i int) {
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -103,6 +103,9 @@
 	// while they agree.
 	rootChecksums digest.BucketChecksums
 	requestAt     [digest.BucketCount]time.Time
+	// keptRequests are the requests for buckets that this node lacks itself, by the address
+	// of the node that sent them.
+	keptRequests map[string]keptRequest
 	// checkedTerm is the term of the last summary with checksums.
 	checkedTerm int64
 	// registryConfirmedAt is the latest moment up to which this node, by the root's
@@ -127,6 +130,13 @@
 	report  digest.Report
 }
 
+// keptRequest is a request for buckets of the registry. After the deadline the node that sent
+// it asks again.
+type keptRequest struct {
+	buckets  []int
+	deadline time.Time
+}
+
 // usesTree reports whether there are enough nodes to exchange state along the tree
 // instead of in digests from each node to every other.
 func (a *Agent) usesTree() bool {
