agent: a kept request is kept for each bucket

Change: the requests are kept by node and bucket. A second test holds that a request which its node has repeated by then is not answered.

--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -292,9 +292,11 @@
 		return
 	}
 	if a.tree.keptRequests == nil {
-		a.tree.keptRequests = map[string]keptRequest{}
+		a.tree.keptRequests = map[bucketRequest]time.Time{}
+	}
+	for _, bucket := range buckets {
+		a.tree.keptRequests[bucketRequest{from, bucket}] = deadline
 	}
-	a.tree.keptRequests[from] = keptRequest{buckets: buckets, deadline: deadline}
 }
 
 // answerKeptRequests answers the kept requests after registry entries were applied.
@@ -303,9 +305,9 @@
 	kept := a.tree.keptRequests
 	a.tree.keptRequests = nil
 	a.mu.Unlock()
-	for to, r := range kept {
-		if time.Now().Before(r.deadline) {
-			a.answerForBuckets(to, r.buckets, r.deadline)
+	for r, deadline := range kept {
+		if time.Now().Before(deadline) {
+			a.answerForBuckets(r.from, []int{r.bucket}, deadline)
 		}
 	}
 }
--- a/internal/agent/leaving_test.go
+++ b/internal/agent/leaving_test.go
@@ -225,52 +225,94 @@
 	is.True(messages >= 6)
 }
 
+// formerParent is a node that is not run, with a root and a node that asks the node for
+// registry entries although it is no child of the node any more. heads are the servers that
+// the root knows, each in a bucket of its own, and former receives what is sent to the node
+// that asks.
+type formerParent struct {
+	*Agent
+	root   *Agent
+	heads  []ring.Server
+	former *testTransport
+}
+
+// newFormerParent returns a former parent that has a summary of a root with two servers that
+// it lacks.
+func newFormerParent(is *is.I) *formerParent {
+	network := &testNetwork{transports: map[string]*testTransport{}, bytes: map[string]int{}, messages: map[string]int{}}
+	node := func(name string) *Agent {
+		return New(Config{Name: name, Directory: testDirectory{}, Transport: &testTransport{network: network, address: name}, Store: fake.NewStore(platform.NewKeyspace()), Fleet: fleet.New(), Log: event.NewLog(slog.New(slog.DiscardHandler)), Timing: DefaultTiming()})
+	}
+	p := &formerParent{Agent: node("parent"), root: node("root"), former: &testTransport{network: network, address: "former", queue: make(chan func(), 100)}}
+	network.transports["former"] = p.former
+	p.serversMirror = p.newMirror(mirror.Config{})
+	p.heads = []ring.Server{headOfReplica(0)}
+	for i := 1; len(p.heads) < 2; i++ {
+		if head := headOfReplica(i); bucketOf(head.ID) != bucketOf(p.heads[0].ID) {
+			p.heads = append(p.heads, head)
+		}
+	}
+	for i, head := range p.heads {
+		is.True(p.root.fleet.Put(head, ring.Revision(i+1)))
+	}
+	p.dispatchMessage("root", digest.Message{Summary: &digest.Summary{Root: "root", Term: 1, Sequence: 1, HasRegistry: true, IsPartial: true, Checksums: p.root.registryChecksums()}})
+	return p
+}
+
+// askFor asks the node for the bucket of a head, and learn sends the node the head's entry.
+func (p *formerParent) askFor(head int) {
+	p.dispatchMessage("former", digest.Message{EntriesRequest: &digest.EntriesRequest{Buckets: []int{bucketOf(p.heads[head].ID)}}})
+}
+
+func (p *formerParent) learn(head int) {
+	p.dispatchMessage("root", digest.Message{Entries: []digest.Entry{entryFromServer(p.heads[head], ring.Revision(head+1))}})
+}
+
+// answers returns the entries and the listings that were sent since the last call.
+func (p *formerParent) answers() (ids []string, listed []int) {
+	p.former.handle = func(_ string, m digest.Message) {
+		for _, e := range m.Entries {
+			ids = append(ids, e.ID)
+		}
+		if m.BucketListing != nil {
+			listed = append(listed, m.BucketListing.Bucket)
+		}
+	}
+	for len(p.former.queue) > 0 {
+		(<-p.former.queue)()
+	}
+	return ids, listed
+}
+
 // TestRequestOfAFormerChildIsAnswered guards against a node that requests entries from its
 // parent of the tree before the last root, which lacks them itself for a moment, and then
 // waits for the next summary: the parent told only its children by the new tree.
 func TestRequestOfAFormerChildIsAnswered(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		network := &testNetwork{transports: map[string]*testTransport{}, bytes: map[string]int{}, messages: map[string]int{}}
-		former := &testTransport{network: network, address: "former", queue: make(chan func(), 100)}
-		network.transports["former"] = former
-		a := New(Config{Name: "n", Directory: testDirectory{}, Transport: &testTransport{network: network, address: "n"}, Store: fake.NewStore(platform.NewKeyspace()), Fleet: fleet.New(), Log: event.NewLog(slog.New(slog.DiscardHandler)), Timing: DefaultTiming()})
-		a.serversMirror = a.newMirror(mirror.Config{})
-		root := New(Config{Name: "root", Transport: &testTransport{network: network, address: "root"}, Store: fake.NewStore(platform.NewKeyspace()), Fleet: fleet.New(), Log: event.NewLog(slog.New(slog.DiscardHandler)), Timing: DefaultTiming()})
-		head := headOfReplica(0)
-		head.Leaving = true
-		is.True(root.fleet.Put(head, 1))
-
-		a.dispatchMessage("root", digest.Message{Summary: &digest.Summary{Root: "root", Term: 1, Sequence: 1, HasRegistry: true, IsPartial: true, Checksums: root.registryChecksums()}})
-		bucket := bucketOf(head.ID)
-		a.dispatchMessage("former", digest.Message{EntriesRequest: &digest.EntriesRequest{Buckets: []int{bucket}}})
-		is.Equal(len(former.queue), 0)
-		a.dispatchMessage("root", digest.Message{Entries: []digest.Entry{entryFromServer(head, 1)}})
-		var ids []string
-		var listing *digest.BucketListing
-		former.handle = func(_ string, m digest.Message) {
-			for _, e := range m.Entries {
-				ids = append(ids, e.ID)
-			}
-			if m.BucketListing != nil {
-				listing = m.BucketListing
-			}
-		}
-		for len(former.queue) > 0 {
-			(<-former.queue)()
+		p := newFormerParent(is)
+		p.askFor(0)
+		p.askFor(1)
+		is.Equal(len(p.former.queue), 0)
+		for head := range p.heads {
+			p.learn(head)
+			ids, listed := p.answers()
+			is.Equal(ids, []string{string(p.heads[head].ID)})
+			is.Equal(listed, []int{bucketOf(p.heads[head].ID)})
 		}
-		is.Equal(ids, []string{string(head.ID)})
-		is.True(listing != nil)
-		is.Equal(listing.Bucket, bucket)
+	})
+}
 
-		// The request is answered once, and not at all when it was repeated meanwhile.
-		head.Leaving = false
-		is.True(root.fleet.Put(head, 2))
-		a.dispatchMessage("root", digest.Message{Summary: &digest.Summary{Root: "root", Term: 1, Sequence: 2, HasRegistry: true, IsPartial: true, Checksums: root.registryChecksums()}})
-		a.dispatchMessage("former", digest.Message{EntriesRequest: &digest.EntriesRequest{Buckets: []int{bucket}}})
+// TestKeptRequestExpires guards against an answer to a request that the node which sent it
+// has repeated to another node.
+func TestKeptRequestExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := newFormerParent(is)
+		p.askFor(0)
 		time.Sleep(requestInterval)
-		a.dispatchMessage("root", digest.Message{Entries: []digest.Entry{entryFromServer(head, 2)}})
-		is.Equal(len(former.queue), 0)
+		p.learn(0)
+		is.Equal(len(p.former.queue), 0)
 	})
 }
 
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -103,9 +103,9 @@
 	// while they agree.
 	rootChecksums digest.BucketChecksums
 	requestAt     [digest.BucketCount]time.Time
-	// keptRequests are the requests for buckets that this node lacks itself, by the address
-	// of the node that sent them.
-	keptRequests map[string]keptRequest
+	// keptRequests holds, for each request for a bucket that this node lacks itself, when
+	// the node that sent it asks again.
+	keptRequests map[bucketRequest]time.Time
 	// checkedTerm is the term of the last summary with checksums.
 	checkedTerm int64
 	// registryConfirmedAt is the latest moment up to which this node, by the root's
@@ -130,11 +130,10 @@
 	report  digest.Report
 }
 
-// keptRequest is a request for buckets of the registry. After the deadline the node that sent
-// it asks again.
-type keptRequest struct {
-	buckets  []int
-	deadline time.Time
+// bucketRequest is the request of the node with an address for a bucket of the registry.
+type bucketRequest struct {
+	from   string
+	bucket int
 }
 
 // usesTree reports whether there are enough nodes to exchange state along the tree
