agent: kept requests take one set of checksums

The requests for entries that a node had kept were answered one by one, each with checksums of the whole registry, and the same function served them and new requests with a deadline that the second had to carry along. Now a request carries its own deadline, all are answered by one function with one set of checksums, and expired ones are dropped when another is kept.

--- a/internal/agent/entries.go
+++ b/internal/agent/entries.go
@@ -254,12 +254,30 @@
 	if a.isController.Load() && !a.hasFullRegistry.Load() {
 		return
 	}
-	a.answerForBuckets(to, r.Buckets, time.Now().Add(requestInterval))
+	deadline := time.Now().Add(requestInterval)
+	var requests []bucketRequest
+	for _, bucket := range r.Buckets {
+		if bucket >= 0 && bucket < digest.BucketCount {
+			requests = append(requests, bucketRequest{to, bucket, deadline})
+		}
+	}
+	a.answerRequests(requests)
+}
+
+// answerKeptRequests answers the kept requests after registry entries were applied.
+func (a *Agent) answerKeptRequests() {
+	a.mu.Lock()
+	kept := a.tree.keptRequests
+	a.tree.keptRequests = nil
+	a.mu.Unlock()
+	if kept = dropExpired(kept); len(kept) > 0 {
+		a.answerRequests(kept)
+	}
 }
 
-// answerForBuckets sends a node the entries of the buckets whose checksums agree with the
-// root's. The others are sent as soon as they agree, if that is before the deadline.
-func (a *Agent) answerForBuckets(to string, buckets []int, deadline time.Time) {
+// answerRequests sends the entries of the requested buckets whose checksums agree with the
+// root's. It keeps the other requests.
+func (a *Agent) answerRequests(requests []bucketRequest) {
 	own := a.registryChecksums()
 	isRoot := a.isController.Load()
 	newest := a.fleet.NewestRevision()
@@ -267,49 +285,38 @@
 	root, listed := a.tree.rootChecksums, a.tree.listedRevision
 	a.mu.Unlock()
 	newest = max(newest, listed)
-	var missing []int
-	for _, bucket := range buckets {
-		switch {
-		case bucket < 0 || bucket >= digest.BucketCount:
-		case !isRoot && own[bucket] != root[bucket]:
-			missing = append(missing, bucket)
-		default:
-			a.sendBucket(to, bucket, newest)
+	var missing []bucketRequest
+	for _, r := range requests {
+		if !isRoot && own[r.bucket] != root[r.bucket] {
+			missing = append(missing, r)
+			continue
 		}
+		a.sendBucket(r.from, r.bucket, newest)
 	}
-	a.keepEntriesRequest(to, missing, deadline)
+	a.keepRequests(missing)
 }
 
-// keepEntriesRequest keeps a request for buckets that this node lacks itself. A regular
-// child gets what this node applies anyway.
-func (a *Agent) keepEntriesRequest(from string, buckets []int, deadline time.Time) {
-	if len(buckets) == 0 {
+// keepRequests keeps requests for buckets that this node lacks itself, except those of its
+// regular children, which get what this node applies anyway.
+func (a *Agent) keepRequests(requests []bucketRequest) {
+	if len(requests) == 0 {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if slices.Contains(a.regularChildren(), from) {
-		return
-	}
-	if a.tree.keptRequests == nil {
-		a.tree.keptRequests = map[bucketRequest]time.Time{}
-	}
-	for _, bucket := range buckets {
-		a.tree.keptRequests[bucketRequest{from, bucket}] = deadline
+	children := a.regularChildren()
+	a.tree.keptRequests = dropExpired(a.tree.keptRequests)
+	for _, r := range requests {
+		if !slices.Contains(children, r.from) {
+			a.tree.keptRequests = append(a.tree.keptRequests, r)
+		}
 	}
 }
 
-// answerKeptRequests answers the kept requests after registry entries were applied.
-func (a *Agent) answerKeptRequests() {
-	a.mu.Lock()
-	kept := a.tree.keptRequests
-	a.tree.keptRequests = nil
-	a.mu.Unlock()
-	for r, deadline := range kept {
-		if time.Now().Before(deadline) {
-			a.answerForBuckets(r.from, []int{r.bucket}, deadline)
-		}
-	}
+// dropExpired returns the requests whose deadline has not passed. It reuses the slice.
+func dropExpired(requests []bucketRequest) []bucketRequest {
+	now := time.Now()
+	return slices.DeleteFunc(requests, func(r bucketRequest) bool { return !now.Before(r.deadline) })
 }
 
 // sendBucket sends a node the registry entries of a bucket, and the listing of their
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -103,9 +103,8 @@
 	// while they agree.
 	rootChecksums digest.BucketChecksums
 	requestAt     [digest.BucketCount]time.Time
-	// keptRequests holds, for each request for a bucket that this node lacks itself, when
-	// the node that sent it asks again.
-	keptRequests map[bucketRequest]time.Time
+	// keptRequests are the requests for buckets that this node lacks itself.
+	keptRequests []bucketRequest
 	// checkedTerm is the term of the last summary with checksums.
 	checkedTerm int64
 	// registryConfirmedAt is the latest moment up to which this node, by the root's
@@ -131,9 +130,11 @@
 }
 
 // bucketRequest is the request of the node with an address for a bucket of the registry.
+// After the deadline that node asks again.
 type bucketRequest struct {
-	from   string
-	bucket int
+	from     string
+	bucket   int
+	deadline time.Time
 }
 
 // usesTree reports whether there are enough nodes to exchange state along the tree
