--- a/internal/gateway/frontclose_test.go
+++ b/internal/gateway/frontclose_test.go
@@ -26,6 +26,27 @@
 	}
 }
 
+// callForUnframedStream calls for a stream without a length, of which first writes the body of
+// the first attempt and each later one writes the rest. It checks that the caller gets the
+// whole stream, in the given number of attempts.
+func (h *frontHarness) callForUnframedStream(is *is.I, attempts int, first func(server string, c net.Conn)) {
+	is.Helper()
+	h.handle = func(server string, n int, r receivedRequest, c net.Conn) {
+		fmt.Fprint(c, unframedHeader(r, "text/event-stream"))
+		if n == 1 {
+			first(server, c)
+			return
+		}
+		last, _ := numericEventID(r.header.Get("Last-Event-Id"))
+		writePieces(c, last)
+	}
+	w, isBroken := h.call("POST", "/draft/x", "body")
+	is.True(!isBroken)
+	is.Equal(w.Code, 200)
+	is.Equal(strings.Count(w.Body.String(), "data: piece\n\n"), 4)
+	is.Equal(len(h.requests()), attempts)
+}
+
 // TestStreamThatEndsWithItsConnection guards against streams without a length that are taken
 // for complete although their server ended, and against whole ones that are sent again.
 func TestStreamThatEndsWithItsConnection(t *testing.T) {
@@ -49,20 +70,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
-				h.handle = func(server string, n int, r receivedRequest, c net.Conn) {
-					fmt.Fprint(c, unframedHeader(r, "text/event-stream"))
-					if n == 1 {
-						test.first(h, server, c)
-						return
-					}
-					last, _ := numericEventID(r.header.Get("Last-Event-Id"))
-					writePieces(c, last)
-				}
-				w, isBroken := h.call("POST", "/draft/x", "body")
-				is.True(!isBroken)
-				is.Equal(w.Code, 200)
-				is.Equal(strings.Count(w.Body.String(), "data: piece\n\n"), 4)
-				is.Equal(len(h.requests()), test.attempts)
+				h.callForUnframedStream(is, test.attempts, func(server string, c net.Conn) { test.first(h, server, c) })
 			})
 		})
 	}
@@ -196,24 +204,13 @@
 				}
 				fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 			}
-			h.handle = func(server string, n int, r receivedRequest, c net.Conn) {
-				fmt.Fprint(c, unframedHeader(r, "text/event-stream"))
-				if n == 1 {
-					h.fleet.Put(ring.Server{
-						ID: ring.VM(server), Service: "engine", Address: server, Slots: 4, Model: "m", Leaving: isLeaving,
-						Membership: ring.Membership{Group: ring.Group("g" + server), Epoch: 1, State: ring.MemberOpen},
-					}, 1000)
-					fmt.Fprint(c, "id: 1\ndata: piece\n\n")
-					return
-				}
-				last, _ := numericEventID(r.header.Get("Last-Event-Id"))
-				writePieces(c, last)
-			}
-			w, isBroken := h.call("POST", "/draft/x", "body")
-			is.True(!isBroken)
-			is.Equal(w.Code, 200)
-			is.Equal(strings.Count(w.Body.String(), "data: piece\n\n"), 4)
-			is.Equal(len(h.requests()), 2)
+			h.callForUnframedStream(is, 2, func(server string, c net.Conn) {
+				h.fleet.Put(ring.Server{
+					ID: ring.VM(server), Service: "engine", Address: server, Slots: 4, Model: "m", Leaving: isLeaving,
+					Membership: ring.Membership{Group: ring.Group("g" + server), Epoch: 1, State: ring.MemberOpen},
+				}, 1000)
+				fmt.Fprint(c, "id: 1\ndata: piece\n\n")
+			})
 		})
 	}
 }
