review: case 8, streams are lost since their worker was silent for a second

Looked for: LOST where a sound worker falls silent, prompted by the entry TestSilentServerIsWaitedForWhenAnotherFails (another fault). Cases 8 and 9 are cases 9 and 10 now.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays review/standin-2/silent.go: a worker leaves after open connections to the store fell silent.
+# Plays review/standin-2/cut.go: a worker leaves while the store cuts waiting watches.
 # It exits with 1 if the rule was broken, 0 if it held and 2 if it could not run. TROUBLE=0 plays it
 # without the disruption.
 cd "$(dirname "$0")/../.." && [ -x target/eelgrassd ] && [ -x target/standin-2 ] || exit 2
-exec target/standin-2 silent review/10/record.txt
+exec target/standin-2 cut review/10/record.txt
--- a/review/standin-2/member.go
+++ b/review/standin-2/member.go
@@ -93,6 +93,7 @@
 		answer(w, http.StatusOK, m.memberState)
 	})
 	mux.HandleFunc("POST /eelgrassring/order", m.order)
+	mux.HandleFunc("POST /lohu930/", m.stream)
 	_ = http.Serve(l, mux)
 }
 
@@ -102,6 +103,44 @@
 	fmt.Println("state", m.id, string(text))
 }
 
+const (
+	// streamEvents and eventGap are how many events a stream has and the time between them.
+	streamEvents = 40
+	eventGap     = 100 * time.Millisecond
+)
+
+// stream serves a request at the head of an open group. It breaks off when the worker leaves the
+// group, which takes effect at once.
+func (m *member) stream(w http.ResponseWriter, r *http.Request) {
+	attempt := r.Header.Get("X-Attempt-Id")
+	m.mu.Lock()
+	g := m.Group
+	isServing := g != nil && g.Rank == 0 && g.State == "open" && r.Header.Get("X-Expect-Instance") == m.id
+	m.mu.Unlock()
+	if !isServing {
+		w.Header().Set("X-Instance-Id", m.id)
+		answer(w, http.StatusMisdirectedRequest, map[string]any{})
+		return
+	}
+	fmt.Println("run", m.id, attempt)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Attempt-Id", attempt)
+	w.Header().Set("X-Response-Seal", "1."+attempt)
+	for i := 1; i <= streamEvents; i++ {
+		m.mu.Lock()
+		hasLeft := m.Group != g
+		m.mu.Unlock()
+		if hasLeft || r.Context().Err() != nil {
+			fmt.Println("broke", m.id, attempt, i, "left", hasLeft)
+			panic(http.ErrAbortHandler)
+		}
+		fmt.Fprintf(w, "id: %d\ndata: grade %d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(eventGap)
+	}
+	fmt.Println("done", m.id, attempt)
+}
+
 type orderBody struct {
 	Operation string   `json:"operation"`
 	Group     string   `json:"group"`
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -259,11 +259,16 @@
 
 // askWith is ask with another key.
 func (s *site) askWith(key string, n *node, method, attempt string, deadline time.Duration) outcome {
-	out := outcome{attempt: attempt, sentAt: time.Now()}
 	r, _ := http.NewRequest(method, "http://"+n.callers+"/puxa403/2f", nil)
 	if method == http.MethodPost {
 		r, _ = http.NewRequest(method, "http://"+n.callers+"/puxa403/2f", strings.NewReader(strings.Repeat("x", 600)))
 	}
+	return s.send(r, key, n, attempt, deadline)
+}
+
+// send sends a request and reads the whole answer.
+func (s *site) send(r *http.Request, key string, n *node, attempt string, deadline time.Duration) outcome {
+	out := outcome{attempt: attempt, sentAt: time.Now()}
 	r.Host = host
 	r.Header.Set("X-Attempt-Id", attempt)
 	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
--- a/review/standin-2/taken.go
+++ b/review/standin-2/taken.go
@@ -70,12 +70,12 @@
 }
 
 // configureEngine writes a configuration with a service that runs one model, of three workers.
-func (s *site) configureEngine() {
+func (s *site) configureEngine(resumable bool) {
 	s.store.set("op/config", map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
 			"name": "r-2yhvz3p", "host": host, "pathPrefix": "/lohu930/", "kind": "streaming", "timeoutMs": 8000, "latencyGoalMs": 400,
-			"priority": 1, "service": engine, "attempts": 2, "public": false, "sticky": true, "resumable": true, "gapTargetMs": 250,
+			"priority": 1, "service": engine, "attempts": 2, "public": false, "sticky": true, "resumable": resumable, "gapTargetMs": 250,
 		}},
 		"services": []any{map[string]any{"name": engine, "healthPath": "/health", "maxConns": 464, "protocol": "h1", "tls": false, "engine": map[string]any{
 			"slots": 26, "kvCapacity": 2470000, "stride": 6, "models": []any{map[string]any{"name": "daka510000", "size": 3, "share": 1.0, "pace": 1.0, "loadS": 12.0, "warmS": 1.1}},
@@ -92,7 +92,7 @@
 // second late. The head of the new group is silent for a second or so when it is ordered to open. TWO
 // holds if no worker of that group takes a join of another one while its head stands still.
 func playTaken(s *site, trouble bool) (bool, error) {
-	s.configureEngine()
+	s.configureEngine(true)
 	lines := make(chan line, 1000)
 	var workers []*memberProcess
 	for i := range 4 {
