--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -11,7 +11,7 @@
 	if len(os.Args) < 2 {
 		os.Exit(2)
 	}
-	cases := map[string]func(s *site, trouble bool) (bool, error){"restarted": playRestarted, "silent": playSilent, "cut": playCut, "revived": playRevived, "taken": playTaken, "quiet": playQuiet}
+	cases := map[string]func(s *site, trouble bool) (bool, error){"restarted": playRestarted, "silent": playSilent, "cut": playCut, "revived": playRevived, "taken": playTaken, "quiet": playQuiet, "drill": playDrill}
 	switch os.Args[1] {
 	case "worker":
 		runWorker(os.Args[2:])
