composition: a result that others overtook does not tell a server's state

Cause: serverState.recordDone took the result that came last for the newest state and counted one more order. With two joins under way to one server and their results in reverse, the number of orders was right and the group was not, so the conditional order that follows was accepted.

Change: an order carries the number of the last observation of its server, and its result repeats it. A result is the next state only if nothing was observed since; otherwise the server is inspected before it joins. The result of a conditional order names its state itself. A result of an earlier process settles nothing. A report between an order and its result had the same effect and is covered.

Ruled out: that the same result comes twice (the agent runs a call once at a time); internal/placement (results change no state there).

--- a/internal/agent/calls.go
+++ b/internal/agent/calls.go
@@ -82,7 +82,7 @@
 	}
 	ct.agent.log.Write(kind, slog.String("order", string(action.Order.Kind)), slog.String("vm", string(action.ID)), slog.String("group", string(action.Order.Group)),
 		slog.Uint64("epoch", uint64(action.Order.Epoch)), slog.Bool("begun", hasBegun), slog.Bool("conditional", action.Order.HasExpected), slog.Int64("expected", action.Order.Expected), slog.Any("error", err))
-	ct.queueComposerEvent(service, composition.OrderEnded{ID: action.ID, Order: action.Order, Outcome: outcome, HasBegun: hasBegun})
+	ct.queueComposerEvent(service, composition.OrderEnded{ID: action.ID, Order: action.Order, Outcome: outcome, HasBegun: hasBegun, Observation: action.Observation})
 }
 
 // queueComposerEvent queues the result of an order or inspection for the composer of
--- a/internal/agent/controller.go
+++ b/internal/agent/controller.go
@@ -295,7 +295,7 @@
 			ct.startCall(ctx, serverCall{action.ID, action.Order.Kind, action.Order.Epoch}, func() {
 				if action.Order.Kind == ring.OrderStage && hadTraffic != ct.hasTraffic.Load() {
 					// It was decided when loads were not limited.
-					ct.queueComposerEvent(service, composition.OrderEnded{ID: action.ID, Order: action.Order, Outcome: composition.OutcomeNotSent})
+					ct.queueComposerEvent(service, composition.OrderEnded{ID: action.ID, Order: action.Order, Outcome: composition.OutcomeNotSent, Observation: action.Observation})
 					return
 				}
 				ct.sendOrder(ctx, service, action)
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -137,7 +137,8 @@
 		}
 		if state.incarnation != s.Incarnation {
 			// Orders to the earlier process may be executed by this one.
-			*state = serverState{incarnation: s.Incarnation, entry: s, unsettled: state.unsettled, replicas: state.replicas}
+			next := state.observations + 1
+			*state = serverState{incarnation: s.Incarnation, entry: s, unsettled: state.unsettled, replicas: state.replicas, observations: next, firstObservation: next}
 		}
 		state.listedIn = c.viewNumber
 		c.listed = append(c.listed, state)
@@ -206,6 +207,9 @@
 // of the server.
 func (c *Composer) recordOrderEnd(e OrderEnded, now time.Time) {
 	s := c.server(e.ID)
+	if s.isOfEarlierProcess(e) {
+		return // This process may still execute the order.
+	}
 	if e.Outcome != OutcomeUnknown && s.unsettled[e.Order.Epoch] > 0 && isStarting(e.Order.Kind) {
 		s.unsettled[e.Order.Epoch]--
 	}
@@ -217,12 +221,13 @@
 		s.recordJoin(e.Order.Group, e.Order.Epoch)
 	}
 	if e.Outcome == OutcomeDone {
-		s.recordDone(e.Order, e.HasBegun)
+		s.recordDone(e)
 	}
 	if e.Order.HasExpected && e.Outcome == OutcomeRefused {
 		// The server has accepted another order since it was last seen. Its report may lag
 		// behind that order, so only the first refusal is followed up at once.
-		s.hasSeen, s.seenOrders = false, 0
+		s.forgetSeen()
+		s.seenOrders = 0
 		if now.After(s.refusedAt.Add(c.options.OrderRetry)) {
 			s.inspectedAt, s.lastOrderAt = time.Time{}, time.Time{}
 		}
@@ -316,7 +321,7 @@
 		s.unsettled[o.Epoch]++
 	}
 	s.lastOrderEpoch, s.lastOrderKind, s.lastOrderAt = o.Epoch, o.Kind, now
-	c.actions = append(c.actions, SendOrder{ID: id, Address: s.entry.Address, Order: o})
+	c.actions = append(c.actions, SendOrder{ID: id, Address: s.entry.Address, Order: o, Observation: s.observations})
 }
 
 // isStarting reports whether orders of the kind are those that make a server the open
--- a/internal/composition/conditional_test.go
+++ b/internal/composition/conditional_test.go
@@ -120,7 +120,7 @@
 		for _, a := range c.Step(ViewUpdated{View: sim.view()}, sim.now) {
 			switch a := a.(type) {
 			case SendOrder:
-				c.Step(OrderEnded{ID: a.ID, Order: a.Order, Outcome: OutcomeDone}, sim.now)
+				c.Step(OrderEnded{ID: a.ID, Order: a.Order, Observation: a.Observation, Outcome: OutcomeDone}, sim.now)
 				sim.servers[a.ID].server.Membership = ring.Membership{}
 				c.Step(ViewUpdated{View: sim.view()}, sim.now)
 			case Inspect:
@@ -159,7 +159,7 @@
 			case SendOrder:
 				if a.Order.HasExpected {
 					orders++
-					next = append(next, c.Step(OrderEnded{ID: a.ID, Order: a.Order, Outcome: OutcomeRefused}, sim.now)...)
+					next = append(next, c.Step(OrderEnded{ID: a.ID, Order: a.Order, Observation: a.Observation, Outcome: OutcomeRefused}, sim.now)...)
 				}
 			case Inspect:
 				next = append(next, c.Step(Inspected{ID: a.ID, Answered: true, Server: sim.servers[a.ID].server}, sim.now)...)
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -26,6 +26,11 @@
 //     newer ones.
 //   - Conditional order: an order that the server refuses if it has accepted another
 //     order since it was seen.
+//   - Seen state: the replica that a server was in when it had accepted a certain number of
+//     orders. The number names the state, as only orders change it. A report shows a seen
+//     state; the result of an order shows only that the order was carried out, not whether
+//     before or after another one that was under way. A conditional order was carried out in
+//     the state that it names.
 //   - Broken: a head that reports the loss of a member; it no longer uses the
 //     other members.
 //
@@ -110,6 +115,8 @@
 	// HasBegun is set with OutcomeDone if the order has begun something that takes time,
 	// and the server counts it.
 	HasBegun bool
+	// Observation is that of the SendOrder.
+	Observation int
 }
 
 // Outcome is the result of sending an order.
@@ -141,6 +148,9 @@
 	ID      ring.VM
 	Address string
 	Order   ring.ReplicaOrder
+	// Observation numbers the state of the server in which the order was given. The result
+	// repeats it.
+	Observation int
 }
 
 // Inspect asks the caller to request a server's current state; Inspected is its
--- a/internal/composition/late_result_test.go
+++ b/internal/composition/late_result_test.go
@@ -21,7 +21,18 @@
 	sim    *simulation
 	c      *Composer
 	maxLag time.Duration
-	events []lateEvent
+	// promptShare is the share of results that come at once. They overtake the results of
+	// earlier calls to the same server.
+	promptShare float64
+	events      []lateEvent
+}
+
+// lag returns how late the next result comes.
+func (l *lateResults) lag() time.Duration {
+	if l.sim.random.Float64() < l.promptShare {
+		return 0
+	}
+	return time.Duration(l.sim.random.Int64N(int64(l.maxLag)))
 }
 
 func (l *lateResults) perform(actions []Action) {
@@ -35,7 +46,7 @@
 			if l.sim.random.IntN(5) == 0 {
 				outcome = OutcomeUnknown
 			}
-			e = OrderEnded{ID: a.ID, Order: a.Order, Outcome: outcome, HasBegun: hasBegun && outcome == OutcomeDone}
+			e = OrderEnded{ID: a.ID, Order: a.Order, Observation: a.Observation, Outcome: outcome, HasBegun: hasBegun && outcome == OutcomeDone}
 		case Inspect:
 			s := l.sim.servers[a.ID]
 			result := Inspected{ID: a.ID, Answered: l.sim.isReachable(s)}
@@ -46,8 +57,7 @@
 		default:
 			continue
 		}
-		lag := time.Duration(l.sim.random.Int64N(int64(l.maxLag)))
-		l.events = append(l.events, lateEvent{l.sim.now.Add(lag), e})
+		l.events = append(l.events, lateEvent{l.sim.now.Add(l.lag()), e})
 	}
 }
 
@@ -133,3 +143,106 @@
 		}
 	}
 }
+
+// simulateOvertakenResults plays 20 s in one domain of six servers that form replicas of
+// three. Each server is silent, stands still or is replaced again and again, so that several
+// orders to it are under way at the same time, and half of the results overtake others.
+func simulateOvertakenResults(t *testing.T, seed uint64) *simulation {
+	t.Helper()
+	sim := newSimulation(seed, 1, 6)
+	sim.service.Models = sim.service.Models[1:]
+	sim.service.Models[0].LoadTime = 2 * time.Second
+	c := New(Config{Options: DefaultOptions(), Term: 7})
+	sim.run(c, 5*time.Second)
+	sim.hasTraffic = true
+	l := &lateResults{sim: sim, c: c, maxLag: 700 * time.Millisecond, promptShare: 0.5}
+	ids := sim.serverIDs()
+	for range 80 {
+		id := ids[sim.random.IntN(len(ids))]
+		duration := time.Duration(300+sim.random.IntN(1500)) * time.Millisecond
+		switch sim.random.IntN(6) {
+		case 0:
+			if !sim.servers[id].alive {
+				sim.restartServer(id)
+			} else {
+				sim.killServer(id)
+			}
+		case 1, 2:
+			sim.silence(id, duration, 0)
+		case 3, 4:
+			sim.pause(id, duration)
+		}
+		l.run(250 * time.Millisecond)
+	}
+	return sim
+}
+
+// TestOvertakenResultsKeepMembersInUse guards against TWO: the result of an older order comes
+// after that of a newer one and is taken for the server's state.
+func TestOvertakenResultsKeepMembersInUse(t *testing.T) {
+	checkSeeds(t, 10**seedCount, simulateOvertakenResults)
+}
+
+// TestResultsInReverseDoNotMoveAServerBack guards against TWO: a member of a replica counts as
+// outside of it since the result of an older order to join comes after that of a newer one.
+func TestResultsInReverseDoNotMoveAServerBack(t *testing.T) {
+	sim, c := newOpenSimulation(t, 1)
+	id := sim.openHead("large", "d0").members[1]
+	s := c.server(id)
+	s.setSeen(5, ring.Membership{})
+	give := func(group ring.Group) SendOrder {
+		c.actions = nil
+		c.epoch++
+		c.addOrder(id, ring.ReplicaOrder{Kind: ring.OrderJoin, Group: group, Epoch: c.epoch, Model: "large"}, sim.now)
+		return c.actions[0].(SendOrder)
+	}
+	finish := func(o SendOrder) {
+		c.Step(OrderEnded{ID: id, Order: o.Order, Outcome: OutcomeDone, HasBegun: true, Observation: o.Observation}, sim.now)
+	}
+	standby, newer := give(ring.StandbyGroup("1")), give("g2")
+	finish(newer)
+	finish(standby)
+	c.ended[newer.Order.Epoch] = endHeadMayBeOpen
+	if !c.mustLeaveFirst(s) {
+		t.Errorf("the server counts as outside of replica %d, seen %+v", newer.Order.Epoch, s.seenMembership)
+	}
+}
+
+// TestResultAfterAReportDoesNotTellTheState guards against a wrong seen state, in which a
+// conditional order to join could be accepted: the report may contain the order of the result.
+func TestResultAfterAReportDoesNotTellTheState(t *testing.T) {
+	sim, c := newOpenSimulation(t, 1)
+	id := sim.openHead("large", "d0").members[1]
+	s := c.server(id)
+	s.setSeen(5, ring.Membership{})
+	c.actions = nil
+	c.addOrder(id, ring.ReplicaOrder{Kind: ring.OrderOpen, Epoch: s.lastEpoch}, sim.now)
+	o := c.actions[0].(SendOrder)
+	s.recordReport(ring.Server{Orders: 6})
+	c.Step(OrderEnded{ID: id, Order: o.Order, Outcome: OutcomeDone, HasBegun: true, Observation: o.Observation}, sim.now)
+	c.ended[s.lastEpoch] = endHeadMayBeOpen
+	if !c.mustLeaveFirst(s) {
+		t.Errorf("the server counts as outside of its replica, seen %+v", s.seenMembership)
+	}
+}
+
+// TestResultOfAnEarlierProcessSettlesNothing guards against TWO: the earlier process joined a
+// replica, so orders with smaller epochs count as refused, but a process that has restarted
+// does not know that epoch and executes one of them.
+func TestResultOfAnEarlierProcessSettlesNothing(t *testing.T) {
+	sim, c := newOpenSimulation(t, 1)
+	id := sim.openHead("large", "d0").members[1]
+	s := c.server(id)
+	late := s.lastEpoch
+	s.unsettled = map[ring.Epoch]int{late: 1}
+	c.ended[late] = endHeadMayBeOpen
+	c.actions = nil
+	c.addOrder(id, ring.ReplicaOrder{Kind: ring.OrderJoin, Epoch: late + 100}, sim.now)
+	o := c.actions[0].(SendOrder)
+	sim.restartServer(id)
+	c.Step(ViewUpdated{View: sim.view()}, sim.now)
+	c.Step(OrderEnded{ID: id, Order: o.Order, Outcome: OutcomeDone, HasBegun: true, Observation: o.Observation}, sim.now)
+	if !c.mustLeaveFirst(s) {
+		t.Errorf("the new process counts as outside of replica %d, which a late order may bring it into", late)
+	}
+}
--- a/internal/composition/leave.go
+++ b/internal/composition/leave.go
@@ -40,7 +40,7 @@
 // replica only after it has left that one, because the head would go on to use it.
 func (c *Composer) mustLeaveFirst(state *serverState) bool {
 	seen := state.seenMembership
-	isOutside := state.hasSeen && (seen.Epoch == 0 || seen.IsStandby() || c.ended[seen.Epoch] == endHeadDone)
+	isOutside := state.hasSeen && !state.isNumberGuessed && (seen.Epoch == 0 || seen.IsStandby() || c.ended[seen.Epoch] == endHeadDone)
 	return c.mayRejoin(state) && !isOutside
 }
 
--- a/internal/composition/server.go
+++ b/internal/composition/server.go
@@ -52,6 +52,15 @@
 	seenOrders     int64
 	seenMembership ring.Membership
 	hasSeen        bool
+	// isNumberGuessed is set while seenOrders may be too large by the orders that were under
+	// way when a report came. It suffices for a conditional order to leave, which proves by its
+	// result that it was right.
+	isNumberGuessed bool
+	// observations counts the changes of the seen state, and firstObservation is the count
+	// when this process of the server was first listed. An order carries the count of when
+	// it was given.
+	observations     int
+	firstObservation int
 	// inUseUntil is the time until which a head that is not listed may still use the
 	// server as a member.
 	inUseUntil time.Time
@@ -101,10 +110,12 @@
 // lag and is outdated if it counts fewer orders than are known.
 func (s *serverState) recordReport(report ring.Server) {
 	s.recordJoin(report.Membership.Group, report.Membership.Epoch)
-	if report.Orders < s.seenOrders {
+	if report.Orders < s.seenOrders && !s.isNumberGuessed {
 		return
 	}
-	s.seenOrders, s.seenMembership, s.hasSeen = report.Orders, report.Membership, true
+	if !s.hasSeen || s.isNumberGuessed || report.Orders != s.seenOrders {
+		s.setSeen(report.Orders, report.Membership)
+	}
 	if report.Membership.Epoch == s.leftEpoch {
 		s.leftEpoch = 0 // It has not left yet, or has joined again.
 	}
@@ -129,21 +140,52 @@
 	}
 }
 
-// recordDone updates the seen state by an order that the server has carried out. The new
-// state is right if the server has accepted no other order since it was seen; otherwise
-// the number is too small, and the server refuses a conditional order.
-func (s *serverState) recordDone(o ring.ReplicaOrder, hasBegun bool) {
-	hasLeft := o.Kind == ring.OrderLeave && o.HasExpected
+// setSeen records a state that the server had when it had accepted that many orders.
+func (s *serverState) setSeen(orders int64, membership ring.Membership) {
+	s.seenOrders, s.seenMembership, s.hasSeen, s.isNumberGuessed = orders, membership, true, false
+	s.observations++
+}
+
+// forgetSeen records that the state of the server is not known.
+func (s *serverState) forgetSeen() {
+	s.hasSeen, s.isNumberGuessed = false, false
+	s.observations++
+}
+
+// isOfEarlierProcess reports whether an order was given to an earlier process of the server.
+// Its result says nothing of this one.
+func (s *serverState) isOfEarlierProcess(e OrderEnded) bool {
+	return e.Observation < s.firstObservation
+}
+
+// recordDone updates the seen state by an order that the server has carried out. The result
+// of a conditional order names the state that the order changed. That of another order is
+// taken for the next state only if nothing has changed the seen state since the order was
+// given; otherwise the order may have been carried out before or after that change. If the
+// server has accepted further orders, the number is too small, and the server refuses a
+// conditional order.
+func (s *serverState) recordDone(e OrderEnded) {
+	o := e.Order
+	after := s.seenMembership
+	switch o.Kind {
+	case ring.OrderJoin:
+		after = ring.Membership{Group: o.Group, Epoch: o.Epoch}
+	case ring.OrderLeave:
+		after = ring.Membership{}
+	}
+	isCounted := e.HasBegun || (o.Kind == ring.OrderLeave && o.HasExpected) // Other orders may have been counted or not.
 	switch {
+	case isCounted && o.HasExpected:
+		if o.Expected >= s.seenOrders {
+			s.setSeen(o.Expected+1, after)
+		}
 	case !s.hasSeen:
-		return
-	case hasLeft:
-		s.seenMembership = ring.Membership{}
-	case hasBegun && o.Kind == ring.OrderJoin:
-		s.seenMembership = ring.Membership{Group: o.Group, Epoch: o.Epoch}
-	case !hasBegun:
-		s.hasSeen = false // It may have been counted or not.
-		return
+	case isCounted && e.Observation == s.observations && !s.isNumberGuessed:
+		s.setSeen(s.seenOrders+1, after)
+	case isCounted && o.Kind != ring.OrderJoin:
+		s.seenOrders, s.isNumberGuessed = s.seenOrders+1, true
+		s.observations++
+	default:
+		s.forgetSeen()
 	}
-	s.seenOrders++
 }
--- a/internal/composition/simulation_test.go
+++ b/internal/composition/simulation_test.go
@@ -318,7 +318,7 @@
 			before := sim.servers[a.ID].server.Orders
 			outcome := sim.deliverOrder(a.ID, a.Order)
 			hasBegun := outcome == OutcomeDone && a.Order.Kind != ring.OrderLeave && sim.servers[a.ID].server.Orders > before
-			sim.performActions(c, c.Step(OrderEnded{ID: a.ID, Order: a.Order, Outcome: outcome, HasBegun: hasBegun}, sim.now))
+			sim.performActions(c, c.Step(OrderEnded{ID: a.ID, Order: a.Order, Observation: a.Observation, Outcome: outcome, HasBegun: hasBegun}, sim.now))
 		case Inspect:
 			s := sim.servers[a.ID]
 			reached := sim.isReachable(s)
