composition: members that return after their replica was adopted wait for its head

What callers would see: TWO. A member that was out of sight joins a standby replica while the head of its own one is open.

Cause: adoptReplica takes the members that respond and forgets the replica's end, by which the others had to leave first. A server in no known replica counted as free.

Change: mayHeadBeOpen is also true for a known replica that is not forming.

The directed test TestMemberThatReturnsAfterItsAdoptedReplicaStaysInUse failed before.

--- a/internal/composition/late_order_test.go
+++ b/internal/composition/late_order_test.go
@@ -279,3 +279,26 @@
 	}
 	checkNoViolations(t, sim)
 }
+
+// TestMemberThatReturnsAfterItsAdoptedReplicaStaysInUse guards against TWO: a replica that was
+// out of sight is adopted by its head's entry while another member does not respond yet. That
+// member is in no known replica when it returns, and the head is open.
+func TestMemberThatReturnsAfterItsAdoptedReplicaStaysInUse(t *testing.T) {
+	sim, c := newOpenSimulation(t, 1)
+	sim.service.Models = sim.service.Models[1:]
+	head := sim.openHead("small", "d0")
+	for _, id := range head.members {
+		sim.servers[id].silentUntil = sim.now.Add(10 * time.Second) // The registry hears from them.
+	}
+	runUntil(t, sim, c, 5*time.Second, func() bool { return c.ended[head.server.Membership.Epoch] == endOutOfSight })
+	head.silentUntil = sim.now
+	runUntil(t, sim, c, 2*time.Second, func() bool { return !c.server(head.server.ID).dead })
+	sim.pause(head.server.ID, 5*time.Second) // It does not get the order to close.
+	runUntil(t, sim, c, 5*time.Second, func() bool { return c.replicas[head.server.Membership.Epoch] != nil })
+	for _, id := range head.members[1:] {
+		c.Step(Inspected{ID: id, Answered: true, Server: sim.servers[id].server}, sim.now)
+		if s := c.server(id); len(s.replicas) == 0 && !c.mustLeaveFirst(s) {
+			t.Errorf("%s is free while the head of its replica is open", id)
+		}
+	}
+}
--- a/internal/composition/leave.go
+++ b/internal/composition/leave.go
@@ -6,8 +6,13 @@
 	ring "eelgrassring.dev"
 )
 
-// mayHeadBeOpen reports whether the replica has ended and its head may still be open.
+// mayHeadBeOpen reports whether the head of a replica may be open for a server that is not
+// known to be one of its members: the replica has ended and its head may be open, or it was
+// adopted when the server was out of sight.
 func (c *Composer) mayHeadBeOpen(epoch ring.Epoch) bool {
+	if r, known := c.replicas[epoch]; known {
+		return r.phase != phaseForming
+	}
 	end, ended := c.ended[epoch]
 	return ended && end != endHeadDone
 }
