composition, fleet: a silent server is waited for where requests end with it

Cause: Composer.recordInspection took one unanswered inspection of a member of a stalled replica for its death. Silence proves that the server, or the way to it, stands still; only a refused connection, another incarnation or a lapsed entry says more.

Change: nodes name, with digests and reports, the stalled replicas at which all of their requests may continue elsewhere; all others count as pinned, also those of a peer that says nothing. A member of a replica with pinned requests counts as dead after 2 s of silence without a gap. Events end a silence. A replica is not released as "stalled although all members answer" while one does not. Where nothing is pinned, the time of a repair is as before.

Tests: killServer of the simulation ends a process, whose VM refuses connections, as it does on the platform; loseVM is the silent loss, with a bound of its own (TestLostVMIsReplacedAfterTheSilenceTimeout).

--- a/internal/agent/controller.go
+++ b/internal/agent/controller.go
@@ -202,13 +202,14 @@
 		ct.hasTraffic.Store(true)
 	}
 	stalled, active, slow := ct.agent.fleet.StalledReplicas(now), ct.agent.fleet.ActiveReplicas(now), ct.agent.fleet.SlowReplicas(now)
+	pinned := ct.agent.fleet.PinnedReplicas(now)
 	limited, limitedServers := ct.agent.limitedReplicas(now)
 	for _, service := range table.Services() {
 		if len(service.Models) == 0 {
 			continue
 		}
 		view := composition.View{
-			Servers: ct.agent.fleet.Servers(service.Name), Service: service, Stalled: stalled, Active: active, Slow: slow, Limited: limited, LimitedServers: limitedServers, Evacuated: ct.agent.fleet.Evacuated(), HasTraffic: ct.hasTraffic.Load(),
+			Servers: ct.agent.fleet.Servers(service.Name), Service: service, Stalled: stalled, Active: active, Pinned: pinned, Slow: slow, Limited: limited, LimitedServers: limitedServers, Evacuated: ct.agent.fleet.Evacuated(), HasTraffic: ct.hasTraffic.Load(),
 		}
 		ct.performActions(ctx, service.Name, ct.composerFor(service.Name).Step(composition.ViewUpdated{View: view}, now))
 	}
@@ -277,11 +278,16 @@
 // applyAbandoned makes this node send no new requests, for abandonedTTL, to the
 // replicas that a digest or summary lists as no longer used by the controller.
 func (a *Agent) applyAbandoned(epochs []uint64, now time.Time) {
-	out := make([]ring.Epoch, len(epochs))
-	for i, e := range epochs {
-		out[i] = ring.Epoch(e)
+	a.fleet.Abandon(epochsOf(epochs), now, now.Add(abandonedTTL))
+}
+
+// epochsOf returns the epochs of replicas that a message names.
+func epochsOf(numbers []uint64) []ring.Epoch {
+	out := make([]ring.Epoch, len(numbers))
+	for i, n := range numbers {
+		out[i] = ring.Epoch(n)
 	}
-	a.fleet.Abandon(out, now, now.Add(abandonedTTL))
+	return out
 }
 
 // performActions performs the actions that a service's composer returned: it starts
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -219,7 +219,7 @@
 // sent.
 func (a *Agent) sendDigests() int {
 	now := time.Now()
-	message := digest.Message{Digest: a.buildDigest(now)}
+	message := digest.Message{Digest: a.buildDigest(now), Movable: a.movableForMessage(now)}
 	addresses := a.peerAddresses()
 	sent := 0
 	for _, address := range addresses {
@@ -228,6 +228,19 @@
 	return sent + a.repeatRefusals(addresses, now) + a.repeatLimits(addresses, now)
 }
 
+// maxMovable bounds the replicas that one message names as movable.
+const maxMovable = 16
+
+// movableForMessage returns the epochs of the replicas at which all requests of this node may
+// continue elsewhere, for a digest.
+func (a *Agent) movableForMessage(now time.Time) []uint64 {
+	var out []uint64
+	for _, e := range a.fleet.MovableReplicas(now) {
+		out = append(out, uint64(e))
+	}
+	return out[:min(len(out), maxMovable)]
+}
+
 // AnnouncePrefill tells the peers that this node sent a replica a prompt with the given
 // estimated prefill time. If the rate limit is reached, it leaves out some peers. With
 // minTreeNodes or more nodes it tells none.
@@ -283,11 +296,11 @@
 	}
 	switch {
 	case m.Digest != nil:
-		a.applyDigest(from, m.Digest)
+		a.applyDigest(from, m.Digest, m.Movable)
 	case m.ProbeRequest != nil:
 		a.startProbeAnswer(from, *m.ProbeRequest)
 	case m.Report != nil:
-		a.applyReport(from, m.Report)
+		a.applyReport(from, m.Report, m.Movable)
 	case m.Summary != nil:
 		a.applySummary(from, m.Summary, registryAt)
 	case len(m.Entries) > 0:
@@ -327,8 +340,9 @@
 
 // applyDigest stores the state from a peer's digest: its requests at the replicas, the
 // replicas that have stalled there, those that the controller no longer uses, and the
-// number of its configuration.
-func (a *Agent) applyDigest(from string, d *digest.Digest) {
+// number of its configuration. movable names the replicas at which all its requests may
+// continue elsewhere.
+func (a *Agent) applyDigest(from string, d *digest.Digest, movable []uint64) {
 	if d.Name == a.config.Name {
 		return
 	}
@@ -344,6 +358,7 @@
 		stalled[ring.Epoch(e)] = time.Duration(ms) * time.Millisecond
 	}
 	a.fleet.UpdatePeer(d.Name, loads, stalled, now.Add(peerTimeout))
+	a.fleet.UpdatePeerMovable(d.Name, epochsOf(movable))
 	a.applyAbandoned(d.Abandoned, now)
 	a.applyConfigNumber(from, d.ConfigNumber)
 }
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -127,6 +127,8 @@
 	address string
 	heardAt time.Time
 	report  digest.Report
+	// movable is as in digest.Message.
+	movable []uint64
 }
 
 // bucketRequest is the request of the node with an address for a bucket of the registry.
@@ -299,7 +301,7 @@
 		if parent == "" {
 			return 0
 		}
-		sent := a.send(parent, digest.Message{Report: &report}) + a.repeatLimits(a.allChildAddresses(), now) + a.repeatCold(a.allChildAddresses(), now)
+		sent := a.send(parent, digest.Message{Report: &report, Movable: a.movableInTree(now, report)}) + a.repeatLimits(a.allChildAddresses(), now) + a.repeatCold(a.allChildAddresses(), now)
 		return sent + a.repeatRefusals(append(a.allChildAddresses(), parent), now)
 	}
 	sent := a.forwardEntries(entries) // Before the summary, whose checksums include them.
@@ -317,6 +319,7 @@
 	}
 	summary.Replicas, summary.NodesChecksum, summary.Requests, summary.Retries = report.Replicas, a.nodesChecksum(), report.Requests, report.Retries
 	a.applyReplicaStatuses(report.Replicas, now)
+	a.fleet.UpdatePeerMovable(treePeer, epochsOf(a.movableInTree(now, report)))
 	a.retryPool.Update(retry.Usage{Requests: report.Requests, Retries: report.Retries}, now.Add(retryPoolTTL))
 	return sent + a.forwardSummary(summary, registryAt) + a.repeatRefusals(a.allChildAddresses(), now) + a.repeatLimits(a.allChildAddresses(), now) + a.repeatCold(a.allChildAddresses(), now)
 }
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -98,7 +98,7 @@
 		c.updateView(e.View, now)
 		c.reconcile(now)
 	case Inspected:
-		c.recordInspection(e)
+		c.recordInspection(e, now)
 	case OrderEnded:
 		c.recordOrderEnd(e, now)
 	}
@@ -120,6 +120,7 @@
 func (c *Composer) updateView(v View, now time.Time) {
 	hasChanged := !isSameSlice(c.view.Servers, v.Servers) || !maps.Equal(c.view.Evacuated, v.Evacuated)
 	c.view = v
+	c.endSilenceOfActive()
 	if !hasChanged {
 		return
 	}
@@ -159,6 +160,18 @@
 	c.domains = slices.Sorted(maps.Keys(c.byDomain))
 }
 
+// endSilenceOfActive resets the silence of the members of active replicas: without them the
+// head would have no events.
+func (c *Composer) endSilenceOfActive() {
+	for epoch := range c.view.Active {
+		if r, known := c.replicas[epoch]; known {
+			for _, m := range r.members {
+				c.server(m.id).misses = 0
+			}
+		}
+	}
+}
+
 // isSameSlice reports whether two slices have the same elements in memory. Servers of a
 // view never change.
 func isSameSlice(a, b []ring.Server) bool {
@@ -168,7 +181,7 @@
 // recordInspection updates a server's state by the result of an inspection, and
 // decides whether the server counts as dead. The head of an active replica does not
 // count as dead when an inspection is unanswered.
-func (c *Composer) recordInspection(e Inspected) {
+func (c *Composer) recordInspection(e Inspected, now time.Time) {
 	s := c.server(e.ID)
 	s.isInspecting = false
 	if e.Inconclusive {
@@ -189,19 +202,35 @@
 		}
 		return
 	}
-	s.misses++
+	s.recordMiss(c.options.ReinspectInterval, now)
 	if c.isActiveHead(e.ID) {
 		// The head still serves: it closed its listener, or only this node cannot reach it.
 		return
 	}
-	if e.Refused || s.misses >= c.options.MaxMisses || c.isStalled(e.ID) {
+	if e.Refused || c.isSilentTooLong(s, now) {
 		if !s.dead {
-			c.addDecision(Decision{What: "server considered dead", VM: e.ID})
+			c.addDecision(Decision{What: "server considered dead", VM: e.ID, Took: now.Sub(s.silentSince)})
 		}
 		s.dead = true
 	}
 }
 
+// isSilentTooLong reports whether a server that did not answer inspections counts as dead.
+// Silence alone does not prove that the process has ended. Where requests would end with the
+// server's replica, it is waited for longer than a sound server may be silent; others go on
+// elsewhere. A member of a stalled replica counts as dead after one unanswered inspection.
+func (c *Composer) isSilentTooLong(s *serverState, now time.Time) bool {
+	if len(s.replicas) == 0 || s.replicas[0].phase == phaseForming {
+		return s.misses >= c.options.MaxMisses
+	}
+	if epoch := s.replicas[0].epoch; !c.view.Pinned[epoch] {
+		return s.misses >= c.options.MaxMisses || c.view.Stalled[epoch] > 0
+	}
+	// A busy controller inspects too seldom to see a silence without a gap.
+	manyMisses := int(c.options.SilenceTimeout / c.options.InspectInterval)
+	return s.misses > manyMisses || (s.misses >= c.options.MaxMisses && now.Sub(s.silentSince) >= c.options.SilenceTimeout)
+}
+
 // recordOrderEnd records the outcome of a server's last order: that a member has left
 // its replica or will not join it. If the outcome is unknown, it adds an inspection
 // of the server.
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -21,7 +21,8 @@
 //   - Stranded: a server that holds a model and is in no open replica, in a domain
 //     without an open replica of some model.
 //   - Dead: a server that refused a connection or did not answer repeated
-//     inspections. It may still serve requests.
+//     inspections. It may still serve requests. A refused connection proves that the process
+//     has ended or leaves; silence proves only that the server, or the way to it, stands still.
 //   - Late order: an order that got no response and is executed seconds later, after
 //     newer ones.
 //   - Conditional order: an order that the server refuses if it has accepted another
@@ -71,6 +72,9 @@
 	Stalled map[ring.Epoch]time.Duration
 	// Active holds the replicas whose streams had recent events at some node.
 	Active map[ring.Epoch]bool
+	// Pinned holds the replicas at which some node may have requests that end with them: they
+	// may not continue at another replica.
+	Pinned map[ring.Epoch]bool
 	// Slow holds the replicas whose streams are much slower than those of other
 	// replicas of the same model, each with the factor by which they are slower.
 	Slow map[ring.Epoch]float64
--- a/internal/composition/late_order_test.go
+++ b/internal/composition/late_order_test.go
@@ -32,6 +32,7 @@
 	sim, c := newOpenSimulation(t, 2)
 	sim.random = newSimulation(seed+1, 0, 0).random
 	sim.delayedShare = 0.5
+	sim.pinsRequests = seed%2 == 1
 	term := ring.Revision(8)
 	for range 50 {
 		id := ring.VM(fmt.Sprintf("v%d-%02d", sim.random.IntN(2), sim.random.IntN(11)))
--- a/internal/composition/options.go
+++ b/internal/composition/options.go
@@ -34,6 +34,9 @@
 	// MaxMisses is the number of consecutive unanswered inspections after which a
 	// server counts as dead.
 	MaxMisses int
+	// SilenceTimeout is how long a member of a replica at which requests are pinned must also
+	// be silent before it counts as dead. A sound server may be silent for a second or so.
+	SilenceTimeout time.Duration
 	// LeaveTimeout is how long the planning of a domain waits for servers that leave a
 	// replica or were not seen yet.
 	LeaveTimeout time.Duration
@@ -79,6 +82,7 @@
 		ReinspectInterval:      time.Second,
 		MinSlowdown:            2,
 		MaxMisses:              2,
+		SilenceTimeout:         2 * time.Second,
 		LeaveTimeout:           time.Second,
 		SettleTime:             400 * time.Millisecond,
 		EntryGrace:             2500 * time.Millisecond,
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -1,6 +1,7 @@
 package composition
 
 import (
+	"slices"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -61,8 +62,8 @@
 	// the head of a releasing replica is ordered to leave without finishing its
 	// requests.
 	deadline time.Time
-	// stalledSince is when a view first reported that the replica's streams are
-	// stalled, or zero if they are not.
+	// stalledSince is since when the replica's streams are stalled although all members
+	// answer, or zero if they are not stalled.
 	stalledSince time.Time
 	// limitedSince is since when the views have named the replica as limited, or zero.
 	limitedSince time.Time
@@ -279,7 +280,7 @@
 	if stalled := c.view.Stalled[r.epoch]; stalled == 0 {
 		r.stalledSince = time.Time{}
 	} else {
-		if r.stalledSince.IsZero() {
+		if r.stalledSince.IsZero() || c.hasSilentMember(r) {
 			r.stalledSince = now
 		}
 		for _, m := range r.members {
@@ -301,6 +302,11 @@
 	}
 }
 
+// hasSilentMember reports whether a member did not answer its last inspection.
+func (c *Composer) hasSilentMember(r *replica) bool {
+	return slices.ContainsFunc(r.members, func(m member) bool { return c.server(m.id).misses > 0 })
+}
+
 // releaseIfSlow releases a replica with slow streams if a member reports that it is
 // slow and a spare can be ready within the time to load the model from host memory.
 // One slow member is enough, because all members wait for the slowest. It reports
--- a/internal/composition/server.go
+++ b/internal/composition/server.go
@@ -17,9 +17,12 @@
 	// replicas are the replicas of which the server is a member, at most one unless
 	// registry entries contradict each other.
 	replicas []*replica
-	// misses counts the consecutive unanswered inspections. inspectedAt is when the
-	// last inspection began, and isInspecting is set until it ends.
+	// misses counts the consecutive unanswered inspections. The server has not answered since
+	// silentSince, and the last of them ended at missedAt. inspectedAt is when the last inspection
+	// began, and isInspecting is set until it ends.
 	misses       int
+	silentSince  time.Time
+	missedAt     time.Time
 	inspectedAt  time.Time
 	isInspecting bool
 	dead         bool
@@ -121,6 +124,16 @@
 	}
 }
 
+// recordMiss records an unanswered inspection. If it began more than maxGap after the last one
+// ended, the server may have answered in between, and its silence begins anew.
+func (s *serverState) recordMiss(maxGap time.Duration, now time.Time) {
+	if s.misses == 0 || s.inspectedAt.After(s.missedAt.Add(maxGap)) {
+		s.silentSince = s.inspectedAt
+	}
+	s.misses++
+	s.missedAt = now
+}
+
 // recordJoin records that the server is or was in a replica.
 func (s *serverState) recordJoin(group ring.Group, epoch ring.Epoch) {
 	if epoch > s.lastEpoch {
--- a/internal/composition/silence_test.go
+++ b/internal/composition/silence_test.go
@@ -84,6 +84,7 @@
 	}
 	sim.random = newSimulation(seed+1, 0, 0).random
 	sim.delayedShare = 0.05
+	sim.pinsRequests = seed%2 == 1
 	silence := time.Duration(5000+sim.random.IntN(7000)) * time.Millisecond
 	for _, id := range sim.serverIDs() {
 		if sim.servers[id].server.Domain == "d0" {
@@ -169,3 +170,89 @@
 	}
 	checkNoViolations(t, sim)
 }
+
+// TestSoundSilentMemberKeepsItsReplica guards against LOST: a sound server is silent for a
+// second or so, its replica is taken apart, and the requests there end that may not be repeated
+// or resumed. The silences cover the head, another member, heads of two replicas, two
+// silences in a row, and a controller that stands still meanwhile or is replaced.
+func TestSoundSilentMemberKeepsItsReplica(t *testing.T) {
+	for _, silence := range []time.Duration{600 * time.Millisecond, time.Second, 1300 * time.Millisecond, 1800 * time.Millisecond} {
+		for _, form := range []string{"head", "member", "two heads", "twice", "controller", "new controller"} {
+			sim, c := newOpenSimulation(t, 1)
+			sim.pinsRequests, sim.stalledFor = true, 3*time.Second
+			large, small := sim.openHead("large", "d0"), sim.openHead("small", "d0")
+			epochs := [2]ring.Epoch{large.server.Membership.Epoch, small.server.Membership.Epoch}
+			silent := []ring.VM{large.server.ID}
+			switch form {
+			case "member":
+				silent = large.members[2:3]
+			case "two heads":
+				silent = append(silent, small.server.ID)
+			}
+			times := 1
+			if form == "twice" {
+				times = 2
+			}
+			for range times {
+				for _, id := range silent {
+					sim.pause(id, silence)
+				}
+				sim.run(c, silence/2)
+				switch form {
+				case "controller":
+					for end := sim.now.Add(silence * 2 / 3); sim.now.Before(end); {
+						sim.advanceTick()
+					}
+				case "new controller":
+					c = New(Config{Options: DefaultOptions(), Term: 8})
+				}
+				sim.run(c, silence/2+300*time.Millisecond)
+			}
+			sim.run(c, 4*time.Second)
+			if now := [2]ring.Epoch{large.server.Membership.Epoch, small.server.Membership.Epoch}; now != epochs || !sim.isComplete(large) || !sim.isComplete(small) {
+				t.Errorf("%s, silent for %s: replicas %v became %v, complete %v and %v", form, silence, epochs, now, sim.isComplete(large), sim.isComplete(small))
+			}
+			checkNoViolations(t, sim)
+		}
+	}
+}
+
+// TestSilencesWithAGapAreNotOne guards against taking two short silences of a member, between
+// which nobody inspected it, for a long one.
+func TestSilencesWithAGapAreNotOne(t *testing.T) {
+	sim, c := newOpenSimulation(t, 1)
+	sim.pinsRequests = true
+	id := sim.openHead("large", "d0").members[1]
+	c.Step(ViewUpdated{View: sim.view()}, sim.now)
+	for _, after := range []time.Duration{0, 3 * time.Second, 3250 * time.Millisecond} {
+		at := sim.now.Add(after)
+		c.addNextInspection(id, at)
+		c.Step(Inspected{ID: id}, at.Add(250*time.Millisecond))
+	}
+	if c.server(id).dead {
+		t.Error("the member is considered dead after it was silent twice for a moment")
+	}
+}
+
+// TestLostVMIsReplacedAfterTheSilenceTimeout guards against waiting for a lost VM for much
+// longer than a sound server may be silent, or at all if all requests may continue elsewhere. The repair itself takes as long as that of a
+// process that has ended (TestMemberIsReplacedSoonAfterAChangeOfTheController).
+func TestLostVMIsReplacedAfterTheSilenceTimeout(t *testing.T) {
+	const repairTime = 1300 * time.Millisecond
+	for rank := range 2 {
+		for _, pinsRequests := range []bool{false, true} {
+			sim, c := newOpenSimulation(t, 1)
+			sim.pinsRequests = pinsRequests
+			sim.loseVM(sim.openHead("large", "d0").members[rank])
+			took := runUntil(t, sim, c, 10*time.Second, func() bool { return sim.countOpen("large") == 1 })
+			limit := repairTime
+			if pinsRequests {
+				limit += DefaultOptions().SilenceTimeout
+			}
+			if took > limit {
+				t.Errorf("rank %d, pinned %v: the repair took %s, want at most %s", rank, pinsRequests, took, limit)
+			}
+			checkNoViolations(t, sim)
+		}
+	}
+}
--- a/internal/composition/track.go
+++ b/internal/composition/track.go
@@ -76,14 +76,6 @@
 	return r != nil && r.head().id == id && c.view.Active[r.epoch]
 }
 
-// isStalled reports whether the server is a member of a stalled replica, one whose
-// streams have no events. Such a server counts as dead after one unanswered
-// inspection.
-func (c *Composer) isStalled(id ring.VM) bool {
-	r := c.replicaOf(id)
-	return r != nil && c.view.Stalled[r.epoch] > 0
-}
-
 // isHead reports whether the server is the head of a replica that may be open for
 // requests.
 func (c *Composer) isHead(id ring.VM) bool {
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -324,6 +324,10 @@
 	Exchange      *Exchange      `cbor:"16,keyasint,omitempty"`
 	Evacuations   *Evacuations   `cbor:"17,keyasint,omitempty"`
 	ColdStart     *ColdStart     `cbor:"19,keyasint,omitempty"`
+	// Movable comes with a digest or report. It names stalled replicas at which all requests
+	// of the nodes that it covers may continue at another replica. A replica that is not
+	// named may have others.
+	Movable []uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // Transport sends and receives messages between nodes over a UDP socket.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -9,6 +9,8 @@
 //     by its peers.
 //   - Stalled: no stream of a replica has had an event for StallTimeout, though
 //     one was due.
+//   - Pinned: a request that may not continue at another replica, because it may not be
+//     repeated or resumed or has no attempt left.
 //   - Active: a stream of a replica has had an event within StallTimeout.
 //
 // Invariants:
@@ -106,6 +108,9 @@
 	loads map[ring.Epoch]int
 	// stalled holds for how long replicas have been stalled at the peer.
 	stalled map[ring.Epoch]time.Duration
+	// movable holds replicas that have stalled and at which none of the peer's requests is
+	// pinned.
+	movable map[ring.Epoch]bool
 }
 
 // New returns an empty fleet.
--- a/internal/gateway/frontreplica.go
+++ b/internal/gateway/frontreplica.go
@@ -239,7 +239,7 @@
 // set or a second attempt was sent. Since a stream's header comes only with its first event, the watch begins before
 // the request is sent.
 func (o *replicaRelay) watch(ctx context.Context, g ring.Group, isLast bool, r *race) (context.Context, *silenceWatch) {
-	if isLast || !o.request.route.MayRepeat() {
+	if !mayMove(o.request, isLast) {
 		return watchSilence(ctx, 0, 0, nil)
 	}
 	f, probe := o.front, o.request.probe()
@@ -290,6 +290,19 @@
 	return err != nil && errors.Is(err, os.ErrDeadlineExceeded) && time.Until(req.deadline) <= 0
 }
 
+// mayMove reports whether a request that was sent may continue at another replica. isLast is set
+// if the route allows no attempt after this one.
+func mayMove(req *frontRequest, isLast bool) bool { return !isLast && req.route.MayRepeat() }
+
+// pin marks a request that ends with its replica, and returns the function that ends this.
+func (f *Front) pin(req *frontRequest, g ring.Group, isLast bool) (unpin func()) {
+	if mayMove(req, isLast) {
+		return func() {}
+	}
+	f.config.Fleet.Pin(g)
+	return func() { f.config.Fleet.Unpin(g) }
+}
+
 // attemptFirst sends the request to a replica once and forwards the response, unless that of the
 // second attempt came first.
 func (o *replicaRelay) attemptFirst(ctx context.Context, chosen fleet.Replica, isLast bool, r *race) (bool, *attemptError) {
@@ -297,6 +310,7 @@
 	streaming := false
 	o.begunAt = time.Time{}
 	defer func() { f.config.Fleet.EndRequest(chosen.Group, streaming) }()
+	defer f.pin(req, chosen.Group, isLast)()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	o.flight = &flight{content: contentOf(req), cancel: cancel}
--- a/internal/gateway/second.go
+++ b/internal/gateway/second.go
@@ -195,10 +195,12 @@
 	f, req, group := o.front, o.request, second.replica.Group
 	req.destination = string(group)
 	streaming := false
+	isLast := req.attempts >= req.route.MaxAttempts
 	defer func() { f.config.Fleet.EndRequest(group, streaming) }()
+	defer f.pin(req, group, isLast)()
 	defer f.suspicion.end(second.flight)
 	o.begunAt, o.flight = time.Time{}, second.flight
-	ctx, watch := o.watch(second.ctx, group, req.attempts >= req.route.MaxAttempts, nil)
+	ctx, watch := o.watch(second.ctx, group, isLast, nil)
 	defer watch.close()
 	defer context.AfterFunc(ctx, second.x.abort)()
 	err := o.forwardStream(ctx, second.x, second.replica, second.events, &streaming)
