era, agent: a store whose era has just become known may have been restored

Cause: era.Tracker knew the time of a restore only if this process had known an earlier era, and all places that ask for it took "none known" for "none".

Change: an era counts as just begun from when the client learns of it until it is settled. The controller writes the settled era to the store, which a copy cannot name; messages between nodes name it too. A first start of the whole system needs no wait by the setting `initial` (the platform's bootstrap).

TestNodesKnowEachOtherAcrossARestore counts one key more in the store.

--- a/cmd/eelgrassd/routed.go
+++ b/cmd/eelgrassd/routed.go
@@ -93,7 +93,7 @@
 	return agent.New(agent.Config{
 		Name: s.Name, Incarnation: string(i), Zone: ring.Zone(s.Zone), PeerAddress: s.DigestAddress, Transport: transport,
 		Store: store, Directory: platform.Directory{}, Control: platform.NewControl(), ConfigFetcher: peer.NewClient(), Fleet: f, Log: log,
-		Timing: agent.DefaultTiming(), Composition: composition.DefaultOptions(), Revocation: time.Duration(s.MaxRevocationDelay), Evacuation: time.Duration(s.MaxEvacuationDelay), Suspects: suspects,
+		Timing: agent.DefaultTiming(), Composition: composition.DefaultOptions(), Revocation: time.Duration(s.MaxRevocationDelay), Evacuation: time.Duration(s.MaxEvacuationDelay), IsFirstStart: s.IsFirstStart, Suspects: suspects,
 	}), nil
 }
 
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -182,6 +182,9 @@
 	Composition   composition.Options
 	Revocation    time.Duration
 	Evacuation    time.Duration
+	// IsFirstStart is set if the whole system starts for the first time, so that nothing was
+	// written that a restore of the store could have lost.
+	IsFirstStart bool
 	// Suspects receives what peers announce of suspects; nil means a registry of its own.
 	Suspects *suspect.Registry
 }
@@ -244,6 +247,8 @@
 	evacuations evacuations
 	// stall says whether the agent's state moves.
 	stall stallWatch
+	// hasReadRouting is set after the first read of the routing configuration.
+	hasReadRouting atomic.Bool
 
 	// mu guards the fields below.
 	mu sync.Mutex
@@ -257,6 +262,10 @@
 	// registryReadAt is the latest moment up to which this node is known to have read
 	// all changes of the registry from the store.
 	registryReadAt clock.Instant
+	// unsettledRead is the last read of the configuration if the era of the store was not
+	// settled then, and recordedEra the era that the store names as settled.
+	unsettledRead *routingRead
+	recordedEra   ring.Era
 	// invalidServers holds the servers whose registry entries are invalid.
 	invalidServers map[ring.VM]bool
 	// peers holds the other nodes by name.
--- a/internal/agent/controller.go
+++ b/internal/agent/controller.go
@@ -59,8 +59,9 @@
 	if exclusiveFrom := t.ExclusiveFrom().Add(a.config.Timing.TakeoverDelay); exclusiveFrom.After(ordersFrom) {
 		ordersFrom = exclusiveFrom
 	}
-	// After a restore, the registry may not show the replicas of an earlier controller.
-	isRegistryComplete := a.config.Store.Era().ChangedAt.Add(a.config.Timing.RestoreGrace).Before(time.Now())
+	recordCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go a.recordSettledEra(recordCtx)
 	// mayDecide reports whether the composers may run: the registry was listed in
 	// this term, and no order of an earlier controller can still take effect.
 	mayDecide := func() bool {
@@ -71,7 +72,8 @@
 			ct.hasTraffic.Store(a.hasOpenReplica())
 			a.SendDigestSoon() // The nodes check what they know when they get the checksums.
 		}
-		return time.Now().After(ordersFrom) || (isRegistryComplete && a.hasNoReplicas())
+		// After a restore, the registry may not show the replicas of an earlier controller.
+		return time.Now().After(ordersFrom) || (!a.isRestoring() && a.hasNoReplicas())
 	}
 	a.serversMirror.Refresh() // This node may have dropped entries that the previous root did not know.
 	ticker, due := time.NewTicker(a.config.Timing.DecisionInterval), time.NewTimer(0)
--- a/internal/agent/evacuations_test.go
+++ b/internal/agent/evacuations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"eelgrassring.dev/internal/digest"
 	"eelgrassring.dev/internal/evacuation"
 	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/fake"
 	"eelgrassring.dev/internal/fleet"
 	"eelgrassring.dev/internal/standin/platform"
 )
@@ -178,7 +180,10 @@
 // state of the zones is in it too.
 func TestSummaryWithZonesFitsIntoADatagram(t *testing.T) {
 	is := is.New(t)
-	a := New(Config{Name: "a", Fleet: fleet.New(), Log: &event.Log{}, Timing: DefaultTiming(), Evacuation: evacuationBound})
+	store := fake.NewStore(platform.NewKeyspace())
+	a := New(Config{Name: "a", Store: store, Fleet: fleet.New(), Log: event.NewLog(slog.New(slog.DiscardHandler)), Timing: DefaultTiming(), Evacuation: evacuationBound})
+	store.ObserveEra(1 << 40)
+	a.settleEra(1 << 40)
 	transport := &testTransport{network: &testNetwork{bytes: map[string]int{}, messages: map[string]int{}}, address: "a"}
 	a.transport = transport
 	for i := range evacuation.MaxZones {
--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -151,6 +151,10 @@
 // older after a restore. While the registry is watched, the read also shows that the store is
 // reachable, so that the watch has reported the changes of the registry up to then.
 func (a *Agent) recordRoutingRead(readStart clock.Instant, listed []ring.Entry, revision ring.Revision) {
+	if !a.hasReadRouting.Swap(true) && a.config.IsFirstStart {
+		a.settleEra(revision.Era())
+	}
+	a.keepUnsettledRead(routingRead{readStart, listed, revision})
 	a.recordEvacuationsRead(readStart, listed, revision)
 	a.mu.Lock()
 	stored := a.storedConfig
@@ -275,6 +279,10 @@
 		a.mu.Unlock()
 		return
 	}
+	if c.Entry.Key == catalog.EraKey {
+		a.applyEraRecord(c)
+		return
+	}
 	name, ok := strings.CutPrefix(c.Entry.Key, catalog.NodePrefix)
 	if !ok || name == a.config.Name {
 		return
--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -82,7 +82,7 @@
 	var known ring.StoreEra
 	clock.Every(ctx, membershipCheckInterval, func(ctx context.Context) {
 		current := a.config.Store.Era()
-		isRestored := current.Number != known.Number && !current.ChangedAt.IsZero()
+		isRestored := current.Number != known.Number && known.Number != 0
 		if isRestored {
 			a.log.Write(event.StoreRestored, slog.Int64("era", int64(current.Number)), slog.Int64("before", int64(known.Number)))
 		}
@@ -190,6 +190,7 @@
 // for the receiver; summaries are sent by sendSummary.
 func (a *Agent) send(address string, m digest.Message) int {
 	if m.Digest != nil || m.Report != nil {
+		m.SettledEra = int64(a.settledEra())
 		m.Exchange, m.Evacuations = a.exchangeAndZonesFor(address, clock.Instant{})
 	}
 	return a.sendComplete(address, m)
@@ -197,7 +198,7 @@
 
 // sendSummary is send for a summary whose checksums cover the registry up to registryAt.
 func (a *Agent) sendSummary(address string, s *digest.Summary, registryAt clock.Instant) int {
-	m := digest.Message{Summary: s}
+	m := digest.Message{Summary: s, SettledEra: int64(a.settledEra())}
 	m.Exchange, m.Evacuations = a.exchangeAndZonesFor(address, registryAt)
 	if len(s.Replicas) > maxReplicasBesideZones {
 		m.Evacuations = nil
@@ -288,6 +289,9 @@
 // dispatchMessage applies or answers a message from a peer according to its type.
 func (a *Agent) dispatchMessage(from string, m digest.Message) {
 	var registryAt clock.Instant
+	if m.SettledEra != 0 {
+		a.settleEra(ring.Era(m.SettledEra))
+	}
 	if m.Exchange != nil && m.Evacuations != nil {
 		a.applyEvacuations(from, m.Evacuations, m.Exchange.Echo, a.isForwarded(m))
 	}
--- a/internal/agent/restore_test.go
+++ b/internal/agent/restore_test.go
@@ -74,7 +74,7 @@
 			}
 			entries, _, err := tc.keys.List(t.Context(), "")
 			is.NoErr(err)
-			is.Equal(len(entries), nodes+2) // the nodes, the controller and the configuration
+			is.Equal(len(entries), nodes+3) // the nodes, the controller, the configuration and the settled era
 		})
 	}
 }
--- a/internal/catalog/keys.go
+++ b/internal/catalog/keys.go
@@ -22,12 +22,14 @@
 	StatePrefix      = "eelgrass/state/"
 	ConfigurationKey = StatePrefix + "configuration"
 	ControllerKey    = StatePrefix + "controller"
-	GroupPrefix      = StatePrefix + "group/"
-	NodePrefix       = StatePrefix + "node/"
-	OwnerPrefix      = "eelgrass/owner/"
-	EpochKey         = "eelgrass/epoch"
-	HistoryPrefix    = "eelgrass/history/"
-	ClaimPrefix      = "eelgrass/claim/"
+	// EraKey holds the number of an era of the store that is settled; see ring.StoreEra.
+	EraKey        = StatePrefix + "era"
+	GroupPrefix   = StatePrefix + "group/"
+	NodePrefix    = StatePrefix + "node/"
+	OwnerPrefix   = "eelgrass/owner/"
+	EpochKey      = "eelgrass/epoch"
+	HistoryPrefix = "eelgrass/history/"
+	ClaimPrefix   = "eelgrass/claim/"
 )
 
 // GroupKey returns the key of a group's record, which lists its members and epoch.
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -328,6 +328,9 @@
 	// of the nodes that it covers may continue at another replica. A replica that is not
 	// named may have others.
 	Movable []uint64 `cbor:"20,keyasint,omitempty"`
+	// SettledEra comes with a digest, report or summary: the era of the store that the sender
+	// knows to be settled (see package era), or 0.
+	SettledEra int64 `cbor:"21,keyasint,omitempty"`
 }
 
 // Transport sends and receives messages between nodes over a UDP socket.
--- a/internal/etcd/client.go
+++ b/internal/etcd/client.go
@@ -252,6 +252,9 @@
 // ObserveEra implements ring.Store. It does nothing.
 func (c *Client) ObserveEra(ring.Era) {}
 
+// SettleEra implements ring.Store. It does nothing.
+func (c *Client) SettleEra(ring.Era) bool { return false }
+
 // Watch implements ring.Store. It opens its own connection, so that discarding
 // the shared one after a timeout does not end the watch.
 func (c *Client) Watch(ctx context.Context, prefix string, from ring.Revision, sink func(ring.Changes)) error {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -40,7 +40,8 @@
 	ConfigurationConfirmed   = Kind{211, "configuration confirmed", slog.LevelInfo}        // it is known to be the newest one; written if that was last known a while ago
 	KeysNotAccepted          = Kind{212, "API keys not accepted", slog.LevelWarn}          // the configuration was last confirmed too long ago
 	KeysAccepted             = Kind{213, "API keys accepted", slog.LevelInfo}
-	VMListIncomplete         = Kind{214, "list of VMs incomplete", slog.LevelWarn} // it was not returned, or some entries cannot be read
+	EraSettled               = Kind{215, "era of the store settled", slog.LevelInfo} // the store or a peer says that its restore, if any, was long ago
+	VMListIncomplete         = Kind{214, "list of VMs incomplete", slog.LevelWarn}   // it was not returned, or some entries cannot be read
 	PeerFound                = Kind{301, "peer found", slog.LevelInfo}
 	PeerLost                 = Kind{302, "peer lost", slog.LevelWarn}
 	ControllerLeaseAcquired  = Kind{303, "controller lease acquired", slog.LevelInfo}
@@ -95,7 +96,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		Started, Draining, Stopped, SettingsChecked, StateStalled, StateMoves, ClientsTurnedAway,
-		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored, ConfigurationConfirmed, KeysNotAccepted, KeysAccepted, VMListIncomplete,
+		StoreDisconnected, StoreConnected, ConfigurationActivated, ConfigurationInvalid, WatchEnded, ConfigurationOutdated, StoreCallFailed, ServerRemoved, ServerInvalid, StoreRestored, ConfigurationConfirmed, KeysNotAccepted, KeysAccepted, VMListIncomplete, EraSettled,
 		PeerFound, PeerLost, ControllerLeaseAcquired, ControllerLeaseLost, MembershipLeaseLost, PeerRecordInvalid, DigestNotSent, ConfigurationFetchFailed,
 		GroupRecordWritten, GroupRecordRejected, OrderSent, OrderFailed, OrderFenced, VMLeaving, CapacityChanged, GroupRecovered,
 		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused, RefusalDecided, ServerLimited, LimitUnreadable, RefusalEnded, ColdRateInvalid, ColdTimeUnreadable, ServerCold,
--- a/internal/fake/store.go
+++ b/internal/fake/store.go
@@ -138,6 +138,9 @@
 // ObserveEra implements ring.Store.
 func (s *Store) ObserveEra(e ring.Era) { s.eras.Observe(e, time.Now()) }
 
+// SettleEra implements ring.Store.
+func (s *Store) SettleEra(e ring.Era) bool { return s.eras.Settle(e) }
+
 // Get implements ring.Store.
 func (s *Store) Get(ctx context.Context, key string) (ring.Entry, bool, error) {
 	if _, _, err := s.startCall(ctx, false, func(c *StoreCalls) { c.Reads++ }); err != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,9 @@
 	// MaxEvacuationDelay is the longest time until no request is sent to the servers of an
 	// availability zone that is being evacuated; 0 means that no zone is.
 	MaxEvacuationDelay deployment.Duration `json:"evacuation"`
+	// IsFirstStart is set if the whole system starts for the first time. Without it a node waits
+	// until it knows that the store was not restored a moment ago.
+	IsFirstStart bool `json:"initial"`
 	// RetryRatio and RetryBurst bound the retries that all nodes send to a
 	// service within ten seconds: RetryRatio times the service's requests plus
 	// RetryBurst.
--- a/internal/standin/platform/restore.go
+++ b/internal/standin/platform/restore.go
@@ -52,3 +52,6 @@
 
 // ObserveEra implements ring.Store. It does nothing: the keyspace knows its era.
 func (k *Keyspace) ObserveEra(ring.Era) {}
+
+// SettleEra implements ring.Store. It does nothing.
+func (k *Keyspace) SettleEra(ring.Era) bool { return false }
--- a/store.go
+++ b/store.go
@@ -19,7 +19,8 @@
 var ErrRestored = errors.New("store was restored from a copy")
 
 // StoreEra is the newest era of the store that a client knows. ChangedAt is when the
-// client learned of it; it is zero if the client has known no other era.
+// client learned of it, also if it is the first one: the restore may have been just before.
+// It is zero if the era is settled, or if the client knows none.
 type StoreEra struct {
 	Number    Era
 	ChangedAt time.Time
@@ -139,4 +140,7 @@
 	// ObserveEra tells the client of an era that a peer knows. Responses of earlier
 	// eras are errors from then on.
 	ObserveEra(e Era)
+	// SettleEra tells the client that an era is settled; see StoreEra. It reports whether
+	// that is the newest known era and was not settled before.
+	SettleEra(e Era) bool
 }
