mirror: a cut watch is no outage of the store

The store cut waiting watches, as it may.

Cause: Mirror.recordCallResult took each failed call for the end of contact with the store, and counted an outage from the last success. For a watch without events that is long ago, so each cut held back deletions for 2.2 s, more than drainMs.

Change: an outage counts from the begin of the first call without an answer. A cut counts as a call that began when it was cut; the listing that follows tells whether the store answers. The mirrors of a node share this record, so that an outage that begins and ends while one of them waits is still noticed.

--- a/internal/agent/mirrors.go
+++ b/internal/agent/mirrors.go
@@ -41,7 +41,7 @@
 // completes c with the settings that all mirrors of a node share.
 func (a *Agent) newMirror(c mirror.Config) *mirror.Mirror {
 	t := a.config.Timing
-	c.Store, c.RetryInterval, c.MinOutage = a.config.Store, t.RetryInterval, t.MinOutage
+	c.Store, c.RetryInterval, c.MinOutage, c.Contact = a.config.Store, t.RetryInterval, t.MinOutage, &a.storeContact
 	c.BatchInterval = func() time.Duration {
 		if a.IsController() {
 			return t.ControllerBatchInterval
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -5,7 +5,11 @@
 //
 //   - Sync: a full listing of the prefix; it finds changes that the watch did
 //     not report.
-//   - Outage: a time in which no call to the store succeeded.
+//   - Outage: a time of at least MinOutage from the begin of a call to the store that had no
+//     answer to the next answer, of this mirror or another one with the same Contact.
+//   - Cut: the end of a waiting watch by the end of its connection. The store may do so at any
+//     time. A cut proves neither that the store does not answer nor since when; the listing that
+//     follows it does.
 //   - Grace period: the time after an outage in which a deleted key may return,
 //     because its lease expired while its owner could not renew it.
 //   - Restore: the store continues from an older copy, in a new era. Its owners write
@@ -52,6 +56,8 @@
 	GracePeriod  time.Duration
 	MinOutage    time.Duration
 	RestoreGrace time.Duration
+	// Contact is shared by the mirrors of a node; nil means one of its own.
+	Contact *Contact
 	// ReportsAtOnce is the key whose deletion is never held back, if it is not empty.
 	ReportsAtOnce string
 	// OnChange is called for each change, OnConnectionChange when calls to the store
@@ -82,11 +88,11 @@
 	// restore set back, until the end of the grace period.
 	pendingDeletions map[string]ring.Change
 	setbacks         map[string]ring.Change
-	lastSuccess      time.Time
-	graceEnd         time.Time
+	// restoreGraceEnd is the end of the grace period of the last restore.
+	restoreGraceEnd time.Time
 	// era is that of the newest listing.
 	era ring.Era
-	// isStoreUp is set if the last call to the store succeeded.
+	// isStoreUp is set if the last call to the store, other than a cut watch, succeeded.
 	isStoreUp bool
 	// isWatching is set while a watch runs.
 	isWatching bool
@@ -100,6 +106,9 @@
 
 // New returns a mirror; Run starts it.
 func New(c Config) *Mirror {
+	if c.Contact == nil {
+		c.Contact = &Contact{}
+	}
 	return &Mirror{config: c, turn: make(chan struct{}, 1), revisions: map[string]ring.Revision{}, pendingDeletions: map[string]ring.Change{}, setbacks: map[string]ring.Change{}, isStoreUp: true, syncRequested: make(chan struct{}, 1)}
 }
 
@@ -114,7 +123,7 @@
 	wait.Wait()
 }
 
-// IsStoreUp reports whether the last call to the store succeeded.
+// IsStoreUp reports whether the last call to the store, other than a cut watch, succeeded.
 func (m *Mirror) IsStoreUp() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -244,7 +253,7 @@
 	defer cancel()
 	m.setWatching(true)
 	defer m.setWatching(false)
-	err := m.config.Store.Watch(watchCtx, m.config.Prefix, revision+1, func(c ring.Changes) {
+	_ = m.config.Store.Watch(watchCtx, m.config.Prefix, revision+1, func(c ring.Changes) {
 		m.applyChanges(c, time.Now())
 		clock.Sleep(ctx, m.config.BatchInterval())
 		if m.hasPeerFeed() {
@@ -252,7 +261,7 @@
 		}
 	})
 	if watchCtx.Err() == nil {
-		m.recordCallResult(err, time.Now())
+		m.recordCut(time.Now())
 	}
 }
 
@@ -260,9 +269,10 @@
 // It returns the revision of the listing, or false if the call to the store failed.
 func (m *Mirror) sync(ctx context.Context) (ring.Revision, bool) {
 	start := clock.NewInstant()
+	began := time.Now()
 	entries, revision, err := m.config.Store.List(ctx, m.config.Prefix)
 	now := time.Now()
-	m.recordCallResult(err, now)
+	m.recordCallResult(err, began, now)
 	if err != nil {
 		return 0, false
 	}
@@ -320,8 +330,8 @@
 // restore, which may have been before this listing. mu is held.
 func (m *Mirror) noteEra(e ring.Era, restoredAt time.Time) {
 	if m.era != 0 && e > m.era {
-		if end := restoredAt.Add(m.config.RestoreGrace); end.After(m.graceEnd) {
-			m.graceEnd = end
+		if end := restoredAt.Add(m.config.RestoreGrace); end.After(m.restoreGraceEnd) {
+			m.restoreGraceEnd = end
 		}
 	}
 	m.era = max(m.era, e)
@@ -333,7 +343,7 @@
 // watch reports it. holdSetback reports whether it held the value. mu is held.
 func (m *Mirror) holdSetback(c ring.Change, now time.Time) bool {
 	known, modified := m.revisions[c.Entry.Key], c.Entry.Modified
-	if !now.Before(m.graceEnd) || known.Era() >= modified.Era() || known.Number() <= modified.Number() {
+	if !now.Before(m.graceEnd()) || known.Era() >= modified.Era() || known.Number() <= modified.Number() {
 		return false
 	}
 	if held, isHeld := m.setbacks[c.Entry.Key]; isHeld && held.Entry.Modified < modified {
@@ -346,7 +356,7 @@
 
 // applyChanges reports a batch of changes from the watch.
 func (m *Mirror) applyChanges(c ring.Changes, now time.Time) {
-	m.recordCallResult(nil, now)
+	m.recordCallResult(nil, now, now)
 	m.takeTurn()
 	defer m.endTurn()
 	m.report(m.applyAll(c.Changes, now))
@@ -380,7 +390,7 @@
 	if _, known := m.revisions[key]; !known || m.revisions[key] > c.Entry.Modified {
 		return out
 	}
-	if now.Before(m.graceEnd) && key != m.config.ReportsAtOnce {
+	if now.Before(m.graceEnd()) && key != m.config.ReportsAtOnce {
 		m.pendingDeletions[key] = c
 		return out
 	}
@@ -401,7 +411,7 @@
 func (m *Mirror) takeHeldBack(now time.Time) []ring.Change {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if now.Before(m.graceEnd) || !m.isStoreUp {
+	if now.Before(m.graceEnd()) || !m.isStoreUp {
 		return nil
 	}
 	var out []ring.Change
@@ -418,19 +428,37 @@
 	return out
 }
 
-// recordCallResult records the result of a call to the store; a nil err means
-// success. At the end of an outage it starts the grace period.
-func (m *Mirror) recordCallResult(err error, now time.Time) {
+// graceEnd returns the end of the last grace period, after an outage or a restore. mu is held.
+func (m *Mirror) graceEnd() time.Time {
+	if end := m.config.Contact.outageEnd(); !end.IsZero() {
+		return clock.Later(m.restoreGraceEnd, end.Add(m.config.GracePeriod))
+	}
+	return m.restoreGraceEnd
+}
+
+// recordCut records that a watch has ended by itself. Only the next call tells whether the store
+// answers.
+func (m *Mirror) recordCut(now time.Time) {
+	m.config.Contact.recordFailure(now)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.failures++
+}
+
+// recordCallResult records the result of a call to the store that began at a time; a nil
+// err means success. At the end of an outage the grace period starts.
+func (m *Mirror) recordCallResult(err error, began, now time.Time) {
+	if err == nil {
+		m.config.Contact.recordAnswer(m.config.MinOutage, now)
+	} else {
+		m.config.Contact.recordFailure(began)
+	}
 	m.mu.Lock()
 	wasUp := m.isStoreUp
 	m.isStoreUp = err == nil
 	m.failures++
 	if err == nil {
 		m.failures = 0
-		if !wasUp && now.Sub(m.lastSuccess) >= m.config.MinOutage {
-			m.graceEnd = now.Add(m.config.GracePeriod)
-		}
-		m.lastSuccess = now
 	}
 	m.mu.Unlock()
 	if wasUp != (err == nil) && m.config.OnConnectionChange != nil {
