--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -236,9 +237,11 @@
 type testCluster struct {
 	keys    *platform.Keyspace
 	network *testNetwork
-	agents  []*Agent
-	stores  []*fake.Store
-	cancels []context.CancelFunc
+	// agentsMu guards agents where a node may be restarted while another one fetches from it.
+	agentsMu sync.Mutex
+	agents   []*Agent
+	stores   []*fake.Store
+	cancels  []context.CancelFunc
 	// failsFetches makes all fetches of configurations from peers fail while it is set.
 	failsFetches bool
 	// fetchTime is how long a fetch of a configuration from a peer takes, in nanoseconds.
@@ -261,7 +264,10 @@
 	if !clock.Sleep(ctx, time.Duration(f.cluster.fetchTime.Load())) {
 		return 0, nil, ctx.Err()
 	}
-	for _, a := range f.cluster.agents {
+	f.cluster.agentsMu.Lock()
+	agents := slices.Clone(f.cluster.agents)
+	f.cluster.agentsMu.Unlock()
+	for _, a := range agents {
 		if a.config.Name == address && !f.cluster.failsFetches {
 			number, text := a.ActiveConfig()
 			return number, text, nil
@@ -317,7 +323,10 @@
 func (tc *testCluster) restartNode(i int, fault platform.Fault) {
 	tc.cancels[i]()
 	time.Sleep(10 * time.Millisecond) // Its transport is closed.
-	tc.agents[i], tc.stores[i], tc.cancels[i] = tc.newNode(nodeName(i), "2", fault)
+	a, store, cancel := tc.newNode(nodeName(i), "2", fault)
+	tc.agentsMu.Lock()
+	defer tc.agentsMu.Unlock()
+	tc.agents[i], tc.stores[i], tc.cancels[i] = a, store, cancel
 }
 
 // newNode runs a node until the test ends or it is cancelled.
