fleet, agent: nodes name the replicas with pinned requests

Cause: nodes named the replicas at which all requests may continue elsewhere, so each node and each level of the tree had to prove that of all others: a loop over all children for each stalled replica, a search in the statuses, and a rule of its own for nodes without an event yet.

Change: they name the replicas with pinned requests that are not active there, and the tree joins the lists. A message without the list, from a node of an earlier version or with too many, pins all its requests, as before. MovableReplicas, isStalledAtPeers, movableInTree and ReplicaStatuses.Load are gone, and the code has files of its own.

Tests: TestPinnedReplicas asks for LocalPinned what it asked for MovableReplicas, with the same answers for the replica; TestMovableReplicaThatStallsAtAPeer is gone with the special case that it was for. The other tests of pinned requests are unchanged.

--- a/internal/agent/peers.go
+++ b/internal/agent/peers.go
@@ -220,7 +220,7 @@
 // sent.
 func (a *Agent) sendDigests() int {
 	now := time.Now()
-	message := digest.Message{Digest: a.buildDigest(now), Movable: a.movableForMessage(now)}
+	message := digest.Message{Digest: a.buildDigest(now), Pinned: newPinned(a.fleet.LocalPinned(now))}
 	addresses := a.peerAddresses()
 	sent := 0
 	for _, address := range addresses {
@@ -229,19 +229,6 @@
 	return sent + a.repeatRefusals(addresses, now) + a.repeatLimits(addresses, now)
 }
 
-// maxMovable bounds the replicas that one message names as movable.
-const maxMovable = 16
-
-// movableForMessage returns the epochs of the replicas at which all requests of this node may
-// continue elsewhere, for a digest.
-func (a *Agent) movableForMessage(now time.Time) []uint64 {
-	var out []uint64
-	for _, e := range a.fleet.MovableReplicas(now) {
-		out = append(out, uint64(e))
-	}
-	return out[:min(len(out), maxMovable)]
-}
-
 // AnnouncePrefill tells the peers that this node sent a replica a prompt with the given
 // estimated prefill time. If the rate limit is reached, it leaves out some peers. With
 // minTreeNodes or more nodes it tells none.
@@ -300,11 +287,11 @@
 	}
 	switch {
 	case m.Digest != nil:
-		a.applyDigest(from, m.Digest, m.Movable)
+		a.applyDigest(from, m.Digest, m.Pinned)
 	case m.ProbeRequest != nil:
 		a.startProbeAnswer(from, *m.ProbeRequest)
 	case m.Report != nil:
-		a.applyReport(from, m.Report, m.Movable)
+		a.applyReport(from, m.Report, m.Pinned)
 	case m.Summary != nil:
 		a.applySummary(from, m.Summary, registryAt)
 	case len(m.Entries) > 0:
@@ -344,9 +331,8 @@
 
 // applyDigest stores the state from a peer's digest: its requests at the replicas, the
 // replicas that have stalled there, those that the controller no longer uses, and the
-// number of its configuration. movable names the replicas at which all its requests may
-// continue elsewhere.
-func (a *Agent) applyDigest(from string, d *digest.Digest, movable []uint64) {
+// number of its configuration. pinned is that of the message.
+func (a *Agent) applyDigest(from string, d *digest.Digest, pinned *digest.Pinned) {
 	if d.Name == a.config.Name {
 		return
 	}
@@ -362,7 +348,9 @@
 		stalled[ring.Epoch(e)] = time.Duration(ms) * time.Millisecond
 	}
 	a.fleet.UpdatePeer(d.Name, loads, stalled, now.Add(peerTimeout))
-	a.fleet.UpdatePeerMovable(d.Name, epochsOf(movable))
+	if pinned != nil {
+		a.fleet.UpdatePeerPinned(d.Name, epochsOf(pinned.Replicas))
+	}
 	a.applyAbandoned(d.Abandoned, now)
 	a.applyConfigNumber(from, d.ConfigNumber)
 }
--- a/internal/agent/summary.go
+++ b/internal/agent/summary.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sort"
 	"time"
 
@@ -84,36 +83,10 @@
 	return out
 }
 
-// movableInTree returns the epochs of the stalled replicas of this node's report at which all
-// requests that it counts may continue elsewhere.
-func (a *Agent) movableInTree(now time.Time, report digest.Report) []uint64 {
-	own := a.movableForMessage(now)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	isMovable := func(e uint64) bool {
-		if a.tree.reportedLoads[ring.Epoch(e)] > 0 && !slices.Contains(own, e) {
-			return false
-		}
-		for _, c := range a.tree.children {
-			if c.report.Replicas.Load(e) > 0 && !slices.Contains(c.movable, e) {
-				return false
-			}
-		}
-		return true
-	}
-	var out []uint64
-	for _, s := range report.Replicas {
-		if s.StalledMillis > 0 && !s.Active && len(out) < maxMovable && isMovable(s.Epoch) {
-			out = append(out, s.Epoch)
-		}
-	}
-	return out
-}
-
 // applyReport stores the report of a child in the tree of nodes. If the report shows a
 // newly stalled replica, it requests that this node's own report is sent before the
-// regular interval has passed. movable is that of the message.
-func (a *Agent) applyReport(from string, r *digest.Report, movable []uint64) {
+// regular interval has passed. pinned is that of the message.
+func (a *Agent) applyReport(from string, r *digest.Report, pinned *digest.Pinned) {
 	now := time.Now()
 	a.config.Store.ObserveEra(ring.Era(r.Era))
 	a.mu.Lock()
@@ -126,7 +99,7 @@
 		return
 	}
 	hasStall := hasNewStall(a.tree.children[r.Name].report.Replicas, r.Replicas)
-	a.tree.children[r.Name] = child{address: from, heardAt: now, report: *r, movable: movable}
+	a.tree.children[r.Name] = child{address: from, heardAt: now, report: *r, pinned: pinned}
 	if hasStall {
 		a.SendDigestSoon()
 	}
--- a/internal/agent/tree.go
+++ b/internal/agent/tree.go
@@ -127,8 +127,8 @@
 	address string
 	heardAt time.Time
 	report  digest.Report
-	// movable is as in digest.Message.
-	movable []uint64
+	// pinned is as in digest.Message.
+	pinned *digest.Pinned
 }
 
 // bucketRequest is the request of the node with an address for a bucket of the registry.
@@ -301,7 +301,7 @@
 		if parent == "" {
 			return 0
 		}
-		sent := a.send(parent, digest.Message{Report: &report, Movable: a.movableInTree(now, report)}) + a.repeatLimits(a.allChildAddresses(), now) + a.repeatCold(a.allChildAddresses(), now)
+		sent := a.send(parent, digest.Message{Report: &report, Pinned: newPinned(a.pinnedInTree(now))}) + a.repeatLimits(a.allChildAddresses(), now) + a.repeatCold(a.allChildAddresses(), now)
 		return sent + a.repeatRefusals(append(a.allChildAddresses(), parent), now)
 	}
 	sent := a.forwardEntries(entries) // Before the summary, whose checksums include them.
@@ -319,7 +319,7 @@
 	}
 	summary.Replicas, summary.NodesChecksum, summary.Requests, summary.Retries = report.Replicas, a.nodesChecksum(), report.Requests, report.Retries
 	a.applyReplicaStatuses(report.Replicas, now)
-	a.fleet.UpdatePeerMovable(treePeer, epochsOf(a.movableInTree(now, report)))
+	a.fleet.UpdatePeerPinned(treePeer, a.pinnedInTree(now))
 	a.retryPool.Update(retry.Usage{Requests: report.Requests, Retries: report.Retries}, now.Add(retryPoolTTL))
 	return sent + a.forwardSummary(summary, registryAt) + a.repeatRefusals(a.allChildAddresses(), now) + a.repeatLimits(a.allChildAddresses(), now) + a.repeatCold(a.allChildAddresses(), now)
 }
--- a/internal/digest/digest.go
+++ b/internal/digest/digest.go
@@ -324,15 +324,21 @@
 	Exchange      *Exchange      `cbor:"16,keyasint,omitempty"`
 	Evacuations   *Evacuations   `cbor:"17,keyasint,omitempty"`
 	ColdStart     *ColdStart     `cbor:"19,keyasint,omitempty"`
-	// Movable comes with a digest or report. It names stalled replicas at which all requests
-	// of the nodes that it covers may continue at another replica. A replica that is not
-	// named may have others.
-	Movable []uint64 `cbor:"20,keyasint,omitempty"`
+	// Pinned comes with a digest or report.
+	Pinned *Pinned `cbor:"20,keyasint,omitempty"`
 	// SettledEra comes with a digest, report or summary: the era of the store that the sender
 	// knows to be settled (see package era), or 0.
 	SettledEra int64 `cbor:"21,keyasint,omitempty"`
 }
 
+// Pinned names the replicas that are not active at the nodes that a digest or report covers, and
+// at which they have requests that end with the replica. Without it, from a node of an earlier
+// version or with too many of them, all their requests may be such ones.
+type Pinned struct {
+	_        struct{} `cbor:",toarray"`
+	Replicas []uint64
+}
+
 // Transport sends and receives messages between nodes over a UDP socket.
 type Transport struct {
 	conn *net.UDPConn
--- a/internal/digest/status.go
+++ b/internal/digest/status.go
@@ -22,16 +22,6 @@
 // otherwise 1 plus the stalled time in units of stallUnitMillis, rounded up.
 type ReplicaStatuses []ReplicaStatus
 
-// Load returns the number of requests at the replica with the epoch, or 0.
-func (s ReplicaStatuses) Load(epoch uint64) int {
-	for _, status := range s {
-		if status.Epoch == epoch {
-			return status.Load
-		}
-	}
-	return 0
-}
-
 // stallUnitMillis is the unit in which a stalled time is encoded.
 const stallUnitMillis = 50
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -108,9 +108,9 @@
 	loads map[ring.Epoch]int
 	// stalled holds for how long replicas have been stalled at the peer.
 	stalled map[ring.Epoch]time.Duration
-	// movable holds replicas that have stalled and at which none of the peer's requests is
-	// pinned.
-	movable map[ring.Epoch]bool
+	// pinned holds the replicas at which the peer has pinned requests, if it names them.
+	pinned      []ring.Epoch
+	namesPinned bool
 }
 
 // New returns an empty fleet.
--- a/internal/fleet/streams.go
+++ b/internal/fleet/streams.go
@@ -35,9 +35,6 @@
 	maxGapAge           = 2 * time.Second
 	minComparedReplicas = 3
 	slowRatio           = 2.5
-	// silentPeerTime is for how long after its end the last report of a peer still shows where
-	// requests may be pinned.
-	silentPeerTime = 5 * time.Second
 	// suspicionDuration is how long a replica counts as stalled after an attempt was
 	// cancelled there. An event of one of its streams ends this early.
 	suspicionDuration = 3 * time.Second
@@ -89,6 +86,11 @@
 	return max(duration, 0)
 }
 
+// isActive reports whether a stream has had an event within StallTimeout.
+func (s *streamState) isActive(now time.Time) bool {
+	return s.streaming > 0 && now.Sub(s.lastEvent) <= StallTimeout
+}
+
 // BeginRequest counts a request that is sent to a replica; prefill is how long
 // the prefill of its prompt takes.
 func (f *Fleet) BeginRequest(r Replica, prefill time.Duration, now time.Time) {
@@ -203,21 +205,6 @@
 	f.notifyWaiters()
 }
 
-// Pin records that one of this node's requests at a replica may not continue at another one:
-// it ends with the replica. Unpin ends this.
-func (f *Fleet) Pin(g ring.Group) { f.addPinned(g, 1) }
-
-// Unpin ends the effect of one call of Pin.
-func (f *Fleet) Unpin(g ring.Group) { f.addPinned(g, -1) }
-
-func (f *Fleet) addPinned(g ring.Group, n int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if s, ok := f.streams[g]; ok {
-		s.pinned += n
-	}
-}
-
 // ObserveGap adds a sample of the gap between two events of a replica's stream.
 func (f *Fleet) ObserveGap(g ring.Group, gap time.Duration, now time.Time) {
 	f.mu.Lock()
@@ -324,71 +311,6 @@
 	return loads, stalled
 }
 
-// MovableReplicas returns the replicas that have stalled at this node, or have stalled at a peer
-// and had no event here yet, and at which none of this node's requests is pinned.
-func (f *Fleet) MovableReplicas(now time.Time) []ring.Epoch {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	var out []ring.Epoch
-	for _, s := range f.streams {
-		if s.outstanding == 0 || s.pinned > 0 {
-			continue
-		}
-		if s.stalledFor(now) > StallTimeout || (s.streaming == 0 && f.isStalledAtPeers(s.epoch, now)) {
-			out = append(out, s.epoch)
-		}
-	}
-	return out
-}
-
-// isStalledAtPeers reports whether the replica has stalled at a live peer; mu is held.
-func (f *Fleet) isStalledAtPeers(e ring.Epoch, now time.Time) bool {
-	for _, p := range f.peers {
-		if now.Before(p.validUntil) && p.stalled[e] > StallTimeout {
-			return true
-		}
-	}
-	return false
-}
-
-// UpdatePeerMovable stores which of the replicas of a peer's last report are in its
-// MovableReplicas. UpdatePeer resets it.
-func (f *Fleet) UpdatePeerMovable(peer string, movable []ring.Epoch) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	p := f.peers[peer]
-	p.movable = make(map[ring.Epoch]bool, len(movable))
-	for _, e := range movable {
-		p.movable[e] = true
-	}
-	f.peers[peer] = p
-}
-
-// PinnedReplicas returns the replicas at which this node or a peer may have a pinned request.
-// The last report of a peer counts for silentPeerTime longer than otherwise, since this node
-// may have stood still, and its requests count as pinned unless the report says otherwise.
-func (f *Fleet) PinnedReplicas(now time.Time) map[ring.Epoch]bool {
-	f.mu.RLock()
-	defer f.mu.RUnlock()
-	out := map[ring.Epoch]bool{}
-	for _, s := range f.streams {
-		if s.pinned > 0 {
-			out[s.epoch] = true
-		}
-	}
-	for _, p := range f.peers {
-		if !now.Before(p.validUntil.Add(silentPeerTime)) {
-			continue
-		}
-		for e, n := range p.loads {
-			if n > 0 && !p.movable[e] {
-				out[e] = true
-			}
-		}
-	}
-	return out
-}
-
 // StalledReplicas returns the replicas that are stalled at every node that has streams
 // of them. The value is the longest time that a node reports.
 func (f *Fleet) StalledReplicas(now time.Time) map[ring.Epoch]time.Duration {
@@ -410,7 +332,7 @@
 	defer f.mu.RUnlock()
 	out := map[ring.Epoch]bool{}
 	for _, s := range f.streams {
-		if s.streaming > 0 && now.Sub(s.lastEvent) <= StallTimeout {
+		if s.isActive(now) {
 			out[s.epoch] = true
 		}
 	}
