--- a/internal/fleet/pinned_test.go
+++ b/internal/fleet/pinned_test.go
@@ -41,3 +41,15 @@
 	f.UpdatePeer("p", map[ring.Epoch]int{3: 2}, stalled, at(1000).Add(validity))
 	is.Equal(f.PinnedReplicas(at(1000))[3], true)
 }
+
+// TestReplicaThatStallsAtAPeerIsNotPinned guards against waiting for a silent server because one
+// node has had no event of it yet.
+func TestReplicaThatStallsAtAPeerIsNotPinned(t *testing.T) {
+	is := is.New(t)
+	f, r := newFleetWithReplica()
+	f.BeginRequest(r, 0, at(0))
+	f.UpdatePeer("p", map[ring.Epoch]int{3: 2}, map[ring.Epoch]time.Duration{3: time.Second}, at(1500))
+	f.UpdatePeerPinned("p", nil)
+	is.Equal(len(f.LocalPinned(at(50))), 0)
+	is.Equal(f.PinnedReplicas(at(50))[3], false)
+}
