--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -205,7 +205,8 @@
 	routingMirror *mirror.Mirror
 	serversMirror *mirror.Mirror
 	stateMirror   *mirror.Mirror
-	storeContact  mirror.Contact
+	// storeContact is what they share.
+	storeContact mirror.Contact
 	// digestRequested wakes the digest loop before its interval has passed.
 	digestRequested chan struct{}
 	// noticeLimiter, extraChildLimiter and urgentLimiter count bytes sent to peers;
--- a/internal/agent/evacuations.go
+++ b/internal/agent/evacuations.go
@@ -58,8 +58,7 @@
 // isRestoring reports whether the store was restored from a copy so shortly ago that the lost
 // keys may not have been written again.
 func (a *Agent) isRestoring() bool {
-	restoredAt := a.config.Store.Era().ChangedAt
-	return !restoredAt.IsZero() && time.Since(restoredAt) < a.config.Timing.RestoreGrace
+	return !a.config.Store.Era().IsSettled(a.config.Timing.RestoreGrace, time.Now())
 }
 
 // readEvacuation returns the change of a zone that a key of the store means, or false if it
--- a/internal/agent/settled.go
+++ b/internal/agent/settled.go
@@ -26,7 +26,7 @@
 // told so, or has known the era for RestoreGrace. Otherwise it returns 0.
 func (a *Agent) settledEra() ring.Era {
 	era := a.config.Store.Era()
-	if !era.ChangedAt.IsZero() && time.Since(era.ChangedAt) < a.config.Timing.RestoreGrace {
+	if !era.IsSettled(a.config.Timing.RestoreGrace, time.Now()) {
 		return 0
 	}
 	return era.Number
--- a/internal/composition/composer.go
+++ b/internal/composition/composer.go
@@ -160,18 +160,6 @@
 	c.domains = slices.Sorted(maps.Keys(c.byDomain))
 }
 
-// endSilenceOfActive resets the silence of the members of active replicas: without them the
-// head would have no events.
-func (c *Composer) endSilenceOfActive() {
-	for epoch := range c.view.Active {
-		if r, known := c.replicas[epoch]; known {
-			for _, m := range r.members {
-				c.server(m.id).misses = 0
-			}
-		}
-	}
-}
-
 // isSameSlice reports whether two slices have the same elements in memory. Servers of a
 // view never change.
 func isSameSlice(a, b []ring.Server) bool {
@@ -215,22 +203,6 @@
 	}
 }
 
-// isSilentTooLong reports whether a server that did not answer inspections counts as dead.
-// Silence alone does not prove that the process has ended. Where requests would end with the
-// server's replica, it is waited for longer than a sound server may be silent; others go on
-// elsewhere. A member of a stalled replica counts as dead after one unanswered inspection.
-func (c *Composer) isSilentTooLong(s *serverState, now time.Time) bool {
-	if len(s.replicas) == 0 || s.replicas[0].phase == phaseForming {
-		return s.misses >= c.options.MaxMisses
-	}
-	if epoch := s.replicas[0].epoch; !c.view.Pinned[epoch] {
-		return s.misses >= c.options.MaxMisses || c.view.Stalled[epoch] > 0
-	}
-	// A busy controller inspects too seldom to see a silence without a gap.
-	manyMisses := int(c.options.SilenceTimeout / c.options.InspectInterval)
-	return s.misses > manyMisses || (s.misses >= c.options.MaxMisses && now.Sub(s.silentSince) >= c.options.SilenceTimeout)
-}
-
 // recordOrderEnd records the outcome of a server's last order: that a member has left
 // its replica or will not join it. If the outcome is unknown, it adds an inspection
 // of the server.
--- a/internal/composition/event.go
+++ b/internal/composition/event.go
@@ -180,7 +180,8 @@
 	// VM is the server that caused the decision, if any.
 	VM ring.VM
 	// Took is the time since the replica was formed or adopted or its release
-	// began. For a replica that is about to form it is the expected join time.
+	// began. For a replica that is about to form it is the expected join time, and for a
+	// server that is considered dead how long it has been silent.
 	Took time.Duration
 	// Missing is how long the domain has had no replica of the model when one is formed
 	// there.
--- a/internal/composition/replica.go
+++ b/internal/composition/replica.go
@@ -1,7 +1,6 @@
 package composition
 
 import (
-	"slices"
 	"time"
 
 	ring "eelgrassring.dev"
@@ -302,11 +301,6 @@
 	}
 }
 
-// hasSilentMember reports whether a member did not answer its last inspection.
-func (c *Composer) hasSilentMember(r *replica) bool {
-	return slices.ContainsFunc(r.members, func(m member) bool { return c.server(m.id).misses > 0 })
-}
-
 // releaseIfSlow releases a replica with slow streams if a member reports that it is
 // slow and a spare can be ready within the time to load the model from host memory.
 // One slow member is enough, because all members wait for the slowest. It reports
--- a/internal/composition/server.go
+++ b/internal/composition/server.go
@@ -124,16 +124,6 @@
 	}
 }
 
-// recordMiss records an unanswered inspection. If it began more than maxGap after the last one
-// ended, the server may have answered in between, and its silence begins anew.
-func (s *serverState) recordMiss(maxGap time.Duration, now time.Time) {
-	if s.misses == 0 || s.inspectedAt.After(s.missedAt.Add(maxGap)) {
-		s.silentSince = s.inspectedAt
-	}
-	s.misses++
-	s.missedAt = now
-}
-
 // recordJoin records that the server is or was in a replica.
 func (s *serverState) recordJoin(group ring.Group, epoch ring.Epoch) {
 	if epoch > s.lastEpoch {
--- a/store.go
+++ b/store.go
@@ -26,6 +26,12 @@
 	ChangedAt time.Time
 }
 
+// IsSettled reports whether the era is settled: by what others say, or as it has been known for
+// the time in which owners write again what a restore lost.
+func (e StoreEra) IsSettled(rewriteTime time.Duration, now time.Time) bool {
+	return e.ChangedAt.IsZero() || now.Sub(e.ChangedAt) >= rewriteTime
+}
+
 // Lease identifies a lease in the store; the zero value is no lease. It holds the era in
 // which the store granted it, because the store may give out its own numbers, which may
 // be of any size, again after a restore.
