head, gateway: a response with a malformed head is no response

Seen by callers: a server's status 000 was passed on as a response (the own interface; WriteHeader panicked), and a key's claim recorded it. With a blank in the name of a field, such as "Content-Length : 14" or "Transfer-Encoding : chunked", the response was passed on with the line, with half of its body, or with the chunk sizes in its body, on both interfaces, also to requests that may not be repeated. Such a response could also mark its server as leaving, paused or limited, or say that the request had not run.

Cause: http.ReadResponse and http.Transport accept more than HTTP/1.1 allows. A status is any three characters that Atoi takes; a name may hold a blank, and the field is then not found. The tests found more of the same cause: statuses such as +20 and -00, versions such as HTTP/2.0, two blanks or a control character in the status line, chunks in a response of HTTP/1.0 (forwarded with their sizes), both a length and chunks, 101 without a request for it (read as informational by routes, forwarded by the own interface), and the same in informational heads. Ruled out (refused before, tests kept): control characters and bytes over 7f in names, empty names, lengths that are no number, other transfer codings.

Change: package head checks each head by the grammar of RFC 9110 and 9112 and passes it on to net/http only when all heads up to the final one are sound. Event 511 and the counter malformed_answers tell such a response from one that was cut off.

After: none failed. They held before and are kept: TestOddHeadIsAResponse, ...OfADeclaredServer, TestServerWithMalformedHeadsIsAvoided, TestMalformedStatusShowsNoEndedServer.

The limit on heads and its mutant move from gateway to head.

--- a/Makefile
+++ b/Makefile
@@ -45,6 +45,7 @@
 FUZZTIME ?= 20s
 fuzz:
 	go test -run xxx -fuzz FuzzEventReader -fuzztime $(FUZZTIME) ./internal/gateway
+	go test -run xxx -fuzz FuzzReadResponse -fuzztime $(FUZZTIME) ./internal/head
 	go test -run xxx -fuzz FuzzConnection -fuzztime $(FUZZTIME) ./internal/intake
 	go test -run xxx -fuzz FuzzReadServer -fuzztime $(FUZZTIME) ./platform
 	go test -run xxx -fuzz FuzzReadRouting -fuzztime $(FUZZTIME) ./platform
@@ -70,4 +71,4 @@
 	scripts/race.sh -run '$(LIMITS)' ./internal/agent
 	scripts/race.sh -run '$(CONFIRMING)' ./internal/agent
 	scripts/race.sh -skip '$(LARGEST)' ./internal/composition ./internal/drain ./internal/echo ./internal/election ./internal/fleet \
-		./internal/gateway ./internal/mirror ./internal/quota ./internal/route ./internal/suspect ./platform
+		./internal/gateway ./internal/head ./internal/mirror ./internal/quota ./internal/route ./internal/suspect ./platform
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -87,6 +87,7 @@
 	LinesDropped             = Kind{508, "log lines dropped", slog.LevelWarn}        // the log output was too slow
 	RequestCutOff            = Kind{509, "request cut off", slog.LevelWarn}          // the process ends while the request is under way
 	ResponseUnfinished       = Kind{510, "response unfinished", slog.LevelWarn}      // it goes on while the node answers what is pending, shortly before the process ends
+	ResponseMalformed        = Kind{511, "malformed response", slog.LevelWarn}       // its head or trailer does not follow the protocol
 	SecondNotSent            = Kind{525, "second attempt not sent", slog.LevelDebug} // a request is slow and may not be sent to a second server
 	SecondWon                = Kind{526, "second attempt won", slog.LevelInfo}       // it answered a request whose first server was slow
 	SecondLost               = Kind{527, "second attempt lost", slog.LevelInfo}      // the first server was faster after all, or the second one failed
@@ -102,7 +103,7 @@
 		ReplicaChanged, ServerInspected, DomainSummary, ServerPaused, ControllerLoad, RequestSuspected, SuspectRefused, RefusalDecided, ServerLimited, LimitUnreadable, RefusalEnded, ColdRateInvalid, ColdTimeUnreadable, ServerCold,
 		EvacuationBegan, EvacuationEnded, EvacuationInvalid, EvacuationUnknownZone, EvacuationEmptied,
 		RequestFailed, AttemptFailed, ClaimOutcomeNotRecorded, StreamReplayed, ResponseMismatch,
-		RequestDone, StreamResumed, LinesDropped, RequestCutOff, ResponseUnfinished,
+		RequestDone, StreamResumed, LinesDropped, RequestCutOff, ResponseUnfinished, ResponseMalformed,
 		SecondNotSent, SecondWon, SecondLost,
 	}
 }
--- a/internal/gateway/endless_declared_test.go
+++ b/internal/gateway/endless_declared_test.go
@@ -37,7 +37,7 @@
 // newDialingServer returns a Server that opens its connections by dial.
 func newDialingServer(dial Dialer) *Server {
 	transport := newTransport(testFirstTimeout)
-	transport.DialContext = dial
+	transport.Dial = dial
 	table := node.NewTable(node.TableConfig{})
 	return &Server{
 		config: Config{FirstTimeout: testFirstTimeout, StallTimeout: testStallTimeout, Log: event.NewLog(slog.New(slog.DiscardHandler)), Metrics: metric.New()},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -1,12 +1,10 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -18,6 +16,7 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/head"
 )
 
 const (
@@ -28,15 +27,11 @@
 	// read. A longer body is written while the response is read, because a server may
 	// respond early.
 	maxInlineBody = 16 << 10
-	// maxResponseHeaders bounds the number of response headers read, informational
-	// (1xx) ones included, and maxResponseHead their size in bytes.
-	maxResponseHeaders = 8
-	maxResponseHead    = 64 << 10
+	// maxResponseHead bounds the size of the response headers that are read, informational
+	// (1xx) ones included, in bytes.
+	maxResponseHead = 64 << 10
 )
 
-// errHeadTooLong is returned for a response whose headers exceed maxResponseHead.
-var errHeadTooLong = errors.New("response header is too long")
-
 // Dialer opens a connection to a backend server.
 type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -177,45 +172,15 @@
 	}
 }
 
-// headLimiter passes on what it reads until left bytes have been read, and then fails. It
-// stops counting once isDone is set.
-type headLimiter struct {
-	in     io.Reader
-	left   int
-	isDone bool
-}
-
-// Read implements io.Reader.
-func (l *headLimiter) Read(p []byte) (int, error) {
-	if l.isDone {
-		return l.in.Read(p)
-	}
-	if l.left <= 0 {
-		return 0, errHeadTooLong
-	}
-	n, err := l.in.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	return n, err
-}
-
 // readHeader reads the header of the final response and skips informational ones. It
-// returns an error if they are too many or too long.
+// returns an error if they are malformed or too long.
 func (x *exchange) readHeader(method string) error {
-	limiter := &headLimiter{in: x.conn, left: maxResponseHead}
-	reader := bufio.NewReader(limiter)
-	request := &http.Request{Method: method}
-	for range maxResponseHeaders {
-		response, err := http.ReadResponse(reader, request)
-		if err != nil {
-			return err
-		}
-		if response.StatusCode >= http.StatusOK {
-			limiter.isDone = true
-			x.response = response
-			return nil
-		}
+	response, err := head.ReadResponse(x.conn, maxResponseHead, method)
+	if err != nil {
+		return err
 	}
-	return errors.New("too many informational responses")
+	x.response = response
+	return nil
 }
 
 // readBody reads the body of the response, which may be used until close. It returns an
--- a/internal/gateway/foreign_test.go
+++ b/internal/gateway/foreign_test.go
@@ -126,7 +126,7 @@
 				is.True(err != nil)
 			}
 			is.Equal(w.Body.String(), first)
-			s.transport.(*http.Transport).CloseIdleConnections()
+			s.transport.(interface{ CloseIdleConnections() }).CloseIdleConnections()
 		})
 	}
 }
--- a/internal/gateway/frontplain.go
+++ b/internal/gateway/frontplain.go
@@ -381,6 +381,7 @@
 // logFailedAttempt counts a failed attempt at a server in the metrics and logs it.
 func (f *Front) logFailedAttempt(req *frontRequest, server ring.Server, err error) {
 	f.config.Metrics.Count("failed_tries", 1, "service", string(req.service.Name))
+	recordMalformed(f.config.Log, f.config.Metrics, req.header.ID, string(server.ID), server.Address, err)
 	f.config.Log.Write(event.AttemptFailed, slog.String("request", req.header.ID), slog.String("vm", string(server.ID)), slog.String("group", string(server.Membership.Group)),
 		slog.Int("try", req.attempts), slog.Any("error", err))
 }
--- a/internal/gateway/race.go
+++ b/internal/gateway/race.go
@@ -332,6 +332,7 @@
 		r.front.hedges.recordAttempt(hedge.Attempt{Kind: r.kind, Server: server.ID, Took: time.Since(begunAt) - r.prefill, IsGivenUp: true, IsCounted: isCounted})
 	}
 	r.front.config.Metrics.Count("second_attempts_lost", 1, "route", r.kind.Route)
+	recordMalformed(r.front.config.Log, r.front.config.Metrics, r.probe.header.ID, string(server.ID), server.Address, err)
 	r.log(event.SecondLost, server, begunAt, err)
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -43,6 +43,7 @@
 	"eelgrassring.dev/internal/claim"
 	"eelgrassring.dev/internal/deployment"
 	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/head"
 	"eelgrassring.dev/internal/intake"
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/node"
@@ -123,11 +124,11 @@
 
 // newTransport returns a transport over TCP. It opens a connection for each request, so it
 // never resends one.
-func newTransport(firstTimeout time.Duration) *http.Transport {
-	return &http.Transport{
+func newTransport(firstTimeout time.Duration) *head.Transport {
+	return head.NewTransport(&http.Transport{
 		DialContext: newDialer().DialContext, ResponseHeaderTimeout: firstTimeout,
 		MaxResponseHeaderBytes: maxResponseHead, DisableCompression: true, DisableKeepAlives: true,
-	}
+	})
 }
 
 // Run starts queued requests and cancels attempts at lost groups, which are known not
@@ -333,5 +334,6 @@
 // logFailedAttempt counts a failed attempt of a call in the metrics and logs it.
 func (s *Server) logFailedAttempt(c *call, route node.Route, err error) {
 	s.config.Metrics.Count("failed_tries", 1)
+	recordMalformed(s.config.Log, s.config.Metrics, c.id, string(route.Head), route.Address, err)
 	s.config.Log.Write(event.AttemptFailed, slog.String("request", c.id), slog.String("group", string(route.Group)), slog.Any("error", err))
 }
--- /dev/null
+++ b/internal/head/transport.go
@@ -0,0 +1,44 @@
+package head
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is an http.RoundTripper over HTTP/1.1 whose errors wrap ErrMalformed if a head of a
+// response is malformed.
+type Transport struct {
+	// Dial opens the connections. It may be replaced before the first request.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	base *http.Transport
+}
+
+// NewTransport returns a Transport with the settings of base, which it takes over. The limit on
+// heads, base.MaxResponseHeaderBytes, must be set.
+func NewTransport(base *http.Transport) *Transport {
+	t := &Transport{Dial: base.DialContext, base: base}
+	if t.Dial == nil {
+		t.Dial = new(net.Dialer).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := t.Dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &conn{Conn: c, limit: int(base.MaxResponseHeaderBytes)}, nil
+	}
+	return t
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	// It is called right before the request is written, when the connection carries nothing else.
+	gotConn := func(info httptrace.GotConnInfo) { info.Conn.(*conn).expectResponse() }
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: gotConn})
+	return t.base.RoundTrip(r.WithContext(ctx))
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
--- a/locks_test.go
+++ b/locks_test.go
@@ -38,6 +38,8 @@
 	"agent.applyExchange a.echoes.Record":                  "a field that the same lock guards",
 	"agent.applySummary a.tree.hasSeen":                    "a field that the same lock guards",
 	"agent.isForwarded a.tree.hasSeen":                     "the same",
+	"head.expectResponse c.checker.reset":                  "a field that the same lock guards",
+	"head.isPassed c.checker.check":                        "the same",
 	"mirror.graceEnd m.config.Contact.outageEnd":           "the record of the mirrors of a node takes its lock only, and calls nothing back",
 	"election.HoldsLease t.number.Era":                     "a value without a lock",
 	"quota.Decide g.meter.reserve":                         "a field that the same lock guards",
