head: a response after many informational ones is a response

Seen by callers: on routes, a sound response after eight informational ones was refused. A request that may not be repeated ended as "may have run" (502) although its response was there, and one that may be repeated ran twice.

Cause: at most eight heads were read of a response, informational ones included. HTTP allows any number of them; a server that reports its progress (102) may send one a second.

Change: all heads of a response together have 64 KiB, as before, and there is no other bound. The own interface already held (net/http bounds their size only).

Informational responses without end still end at 64 KiB: TestHeadsHaveALimit, and TestEndlessResponseToNonIdempotentRequest and its like are unchanged.

--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -18,7 +18,7 @@
 //
 // A head may be unlike most: no reason, statuses that have no meaning (600 to 999 count as
 // failures of the server), folded values, lines that end without a carriage return, names in any
-// case, informational responses.
+// case, any number of informational responses within the limit on the size of all heads.
 //
 // Invariants: no response is returned of which a head is malformed. What is read is passed on
 // unchanged. A malformed head proves nothing but that the request may have run. Errors hold no
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -119,6 +119,9 @@
 			t.Errorf("%s: got %v", pace, err)
 		}
 	}
+	if _, _, err := readAll(strings.NewReader(strings.Repeat("HTTP/1.1 103 X\r\n\r\n", testLimit)), testLimit); !errors.Is(err, ErrTooLong) {
+		t.Errorf("informational responses: got %v", err)
+	}
 }
 
 // newTestTransport returns a Transport whose connections are served by serve.
--- a/internal/head/headtest/headtest.go
+++ b/internal/head/headtest/headtest.go
@@ -108,6 +108,7 @@
 		{"HTTP/1.0", "HTTP/1.0 " + fmt.Sprint(status) + " X\r\n" + header + length + "\r\n" + body},
 		{"HTTP/1.2", "HTTP/1.2 " + fmt.Sprint(status) + " X\r\n" + header + length + "\r\n" + body},
 		{"bare line feeds", strings.ReplaceAll(line+" X\r\n"+header+length+"\r\n", "\r\n", "\n") + body},
+		{"many informational responses", strings.Repeat("HTTP/1.1 102 Processing\r\nX-Early: 1\r\n\r\n", 40) + Sound(status, header, body)},
 		{"request to continue", "HTTP/1.1 100 Continue\r\n\r\n" + Sound(status, header, body)},
 		{"informational response without a reason", "HTTP/1.1 103\r\n\r\n" + Sound(status, header, body)},
 		{"informational response of an unknown status", "HTTP/1.1 199 X\r\n\r\n" + Sound(status, header, body)},
--- a/internal/head/read.go
+++ b/internal/head/read.go
@@ -2,21 +2,17 @@
 
 import (
 	"bufio"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
 )
 
-// maxHeads bounds the heads of a response, informational ones included.
-const maxHeads = 8
-
 // ReadResponse reads the head of the final response to a request with the method from a connection
 // that carries no other response, and skips informational ones. All heads together have up to
 // limit bytes. The error wraps ErrMalformed if a head is malformed.
 func ReadResponse(from net.Conn, limit int, method string) (*http.Response, error) {
 	in, request := bufio.NewReader(&conn{Conn: from, limit: limit}), &http.Request{Method: method}
-	for range maxHeads {
+	for {
 		response, err := http.ReadResponse(in, request)
 		if err != nil {
 			return nil, err
@@ -25,7 +21,6 @@
 			return response, nil
 		}
 	}
-	return nil, errors.New("too many informational responses")
 }
 
 // conn is a connection that may carry several responses, one after the other. It passes heads on
