head: the trailer of a response is checked like its head

Seen by callers: a response whose trailer has a field with a blank in its name was forwarded as complete, and recorded under its key, while one with any other byte that a name may not hold was broken off.

Cause: net/http reads trailers as it reads heads, with the same leniency, and package head sees the bytes up to the final head only.

Change: the body of a response with a transfer coding ends with an error that wraps ErrMalformed if the trailer has such a field, on both interfaces. The errors of net/http for trailers wrap it too, so that event 511 and its counter cover them, and their text no longer quotes the line. Trailers are not forwarded, so that the line itself never reached a caller.

--- a/internal/gateway/malformed_declared_test.go
+++ b/internal/gateway/malformed_declared_test.go
@@ -93,7 +93,7 @@
 // a call with a key, or recording that it has not run.
 func TestMalformedHeadIsNotRecorded(t *testing.T) {
 	for _, status := range []int{200, 503} {
-		for _, malformed := range malformedDeclared(status, "", cutBody) {
+		for _, malformed := range append(malformedDeclared(status, "", cutBody), headtest.MalformedTrailers(status, "", cutBody)...) {
 			t.Run(fmt.Sprint(status, " ", malformed.Name), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
@@ -177,6 +177,23 @@
 	}
 }
 
+// TestMalformedTrailerBreaksTheServiceResponse is TestMalformedTrailerBreaksTheResponse for
+// declared services.
+func TestMalformedTrailerBreaksTheServiceResponse(t *testing.T) {
+	for _, malformed := range headtest.MalformedTrailers(200, "", cutBody) {
+		t.Run(malformed.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, requests := newAnsweringServer(malformed.Text)
+				resp, _, err := newServiceCall(s).sendAndRead(t.Context(), "s:1")
+				if resp != nil || err == nil || err.stage != stageSent || requests() != 1 {
+					t.Errorf("got %v, %v, %d requests", resp, err, requests())
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // TestMalformedOptionsShowNoLivingServer is TestMalformedHealthAnswerShowsNoLivingServer for
 // declared services.
 func TestMalformedOptionsShowNoLivingServer(t *testing.T) {
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -150,6 +150,33 @@
 	}
 }
 
+// TestMalformedTrailerBreaksTheResponse guards against taking a response for complete whose
+// trailer is malformed.
+func TestMalformedTrailerBreaksTheResponse(t *testing.T) {
+	for _, c := range malformedCases {
+		if c.body == cutStream {
+			continue // Its events are forwarded before the trailer is read.
+		}
+		t.Run(c.target, func(t *testing.T) {
+			for _, malformed := range headtest.MalformedTrailers(200, c.header(), c.body) {
+				t.Run(malformed.Name, func(t *testing.T) { c.test(t, malformed.Text) })
+			}
+		})
+	}
+	for _, target := range []string{"/single/1", "/draft/1"} {
+		for _, malformed := range headtest.MalformedTrailers(200, malformedCases[2].header(), streamText(1)) {
+			t.Run(target+" "+malformed.Name, func(t *testing.T) {
+				withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+					h.handle = func(_ string, _ int, _ receivedRequest, s net.Conn) { fmt.Fprint(s, malformed.Text) }
+					w, isBroken := h.call("POST", target, "x")
+					is.True(isBroken)
+					is.Equal(w.Body.String(), streamText(1))
+				})
+			})
+		}
+	}
+}
+
 // TestMalformedHeadLosesARace guards against a malformed response of one of two attempts that
 // goes to the caller, or that ends the other attempt.
 func TestMalformedHeadLosesARace(t *testing.T) {
@@ -246,7 +273,7 @@
 // ones that were cut off, and against a log that holds a part of them.
 func TestMalformedResponseIsTold(t *testing.T) {
 	cut := headtest.Response{Name: "cut off", Text: "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n"}
-	malformed := headtest.Malformed(200, malformedCases[0].header(), cutBody)
+	malformed := append(headtest.Malformed(200, malformedCases[0].header(), cutBody), headtest.MalformedTrailers(200, malformedCases[0].header(), cutBody)...)
 	for _, r := range append(malformed, cut) {
 		want := 1
 		if r == cut {
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -20,9 +20,10 @@
 // failures of the server), folded values, lines that end without a carriage return, names in any
 // case, any number of informational responses within the limit on the size of all heads.
 //
-// Invariants: no response is returned of which a head is malformed. What is read is passed on
-// unchanged. A malformed head proves nothing but that the request may have run. Errors hold no
-// part of what was read: it may be part of a body.
+// Invariants: no response is returned of which a head is malformed, nor the end of a body whose
+// trailer has a malformed field. What is read is passed on unchanged. A malformed head proves
+// nothing but that the request may have run. Errors hold no part of what was read: it may be part
+// of a body.
 package head
 
 import (
@@ -36,7 +37,7 @@
 )
 
 var (
-	// ErrMalformed is wrapped by the errors of responses whose head is malformed.
+	// ErrMalformed is wrapped by the errors of responses whose head or trailer is malformed.
 	ErrMalformed = errors.New("malformed response")
 	// ErrTooLong is the error of heads that exceed the limit.
 	ErrTooLong = errors.New("response header is too long")
--- a/internal/head/headtest/headtest.go
+++ b/internal/head/headtest/headtest.go
@@ -54,7 +54,7 @@
 	return append(out, Response{"folded line as the first", sound + " X: y\r\n" + rest}, Response{"empty line with a blank", sound + " \r\n" + rest})
 }
 
-// MalformedFields returns lines of a head, without their line end, that are no
+// MalformedFields returns lines of a head or a trailer, without their line end, that are no
 // fields.
 func MalformedFields() []string {
 	return []string{
@@ -89,6 +89,16 @@
 	}
 }
 
+// MalformedTrailers returns responses with a sound head whose trailer is malformed.
+func MalformedTrailers(status int, header, body string) []Response {
+	var out []Response
+	head := "HTTP/1.1 " + fmt.Sprint(status) + " X\r\n" + header + "Transfer-Encoding: chunked\r\n\r\n"
+	for _, line := range MalformedFields() {
+		out = append(out, Response{fmt.Sprintf("trailer %q", line), head + chunked(body, line+"\r\n")})
+	}
+	return out
+}
+
 // Odd returns sound responses with the status, the header lines and the body whose head is
 // allowed, but unlike that of most servers. Each ends with its length or its last chunk.
 func Odd(status int, header, body string) []Response {
--- a/internal/head/read.go
+++ b/internal/head/read.go
@@ -2,14 +2,20 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 	"net/http"
+	"net/textproto"
 	"sync"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // ReadResponse reads the head of the final response to a request with the method from a connection
 // that carries no other response, and skips informational ones. All heads together have up to
-// limit bytes. The error wraps ErrMalformed if a head is malformed.
+// limit bytes. The errors of this function and of the body wrap ErrMalformed if a head or the
+// trailer is malformed.
 func ReadResponse(from net.Conn, limit int, method string) (*http.Response, error) {
 	in, request := bufio.NewReader(&conn{Conn: from, limit: limit}), &http.Request{Method: method}
 	for {
@@ -18,6 +24,7 @@
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK {
+			checkTrailer(response)
 			return response, nil
 		}
 	}
@@ -96,3 +103,39 @@
 	}
 	return false
 }
+
+// body is the body of a response with a transfer coding, which may have a trailer.
+type body struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// checkTrailer makes the body of a response end with an error if its trailer is malformed.
+func checkTrailer(r *http.Response) {
+	if len(r.TransferEncoding) > 0 {
+		r.Body = body{r.Body, r}
+	}
+}
+
+// Read implements io.Reader.
+func (b body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	var protocol textproto.ProtocolError
+	switch {
+	case err == io.EOF && !hasFieldNames(b.response.Trailer):
+		err = malformed("name of a field in the trailer")
+	case errors.As(err, &protocol):
+		err = malformed("trailer")
+	}
+	return n, err
+}
+
+// hasFieldNames reports whether the names of all fields that have come are tokens.
+func hasFieldNames(trailer http.Header) bool {
+	for name, values := range trailer {
+		if values != nil && !httpguts.ValidHeaderFieldName(name) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/head/transport.go
+++ b/internal/head/transport.go
@@ -7,8 +7,8 @@
 	"net/http/httptrace"
 )
 
-// Transport is an http.RoundTripper over HTTP/1.1 whose errors wrap ErrMalformed if a head of a
-// response is malformed.
+// Transport is an http.RoundTripper over HTTP/1.1 whose errors, and those of the bodies, wrap
+// ErrMalformed if a head or the trailer of a response is malformed.
 type Transport struct {
 	// Dial opens the connections. It may be replaced before the first request.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -37,7 +37,12 @@
 	// It is called right before the request is written, when the connection carries nothing else.
 	gotConn := func(info httptrace.GotConnInfo) { info.Conn.(*conn).expectResponse() }
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: gotConn})
-	return t.base.RoundTrip(r.WithContext(ctx))
+	response, err := t.base.RoundTrip(r.WithContext(ctx))
+	if err != nil {
+		return nil, err
+	}
+	checkTrailer(response)
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections that no request uses.
