engine: a malformed response to a status call or an order proves nothing

Seen: a status with a malformed head was used, and an order counted as carried out (200) or as fenced (412) by a response with one.

Cause: the client of the engines' control interface reads heads with http.Transport, which accepts malformed ones (see package head).

Change: it uses head.Transport, on reused connections too. The tests of endless responses replace its dialer; they check the same.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -15,6 +15,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/head"
 )
 
 // The headers between nodes and backend servers.
@@ -69,10 +70,10 @@
 // NewControl returns a Control with its own clients.
 func NewControl(c ControlConfig) *Control {
 	if c.KeepAlive == nil {
-		c.KeepAlive = &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader}
+		c.KeepAlive = head.NewTransport(&http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader})
 	}
 	if c.Fresh == nil {
-		c.Fresh = &http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader}
+		c.Fresh = head.NewTransport(&http.Transport{DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader})
 	}
 	return &Control{
 		keepAliveClient: &http.Client{Timeout: c.Timeout, Transport: c.KeepAlive, CheckRedirect: keepRedirect},
--- a/internal/engine/endless_test.go
+++ b/internal/engine/endless_test.go
@@ -15,6 +15,7 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/endless"
+	"eelgrassring.dev/internal/head"
 )
 
 const (
@@ -40,8 +41,8 @@
 					is := is.New(t)
 					s := &endless.Server{Response: r, Slow: slow}
 					c := NewControl(ControlConfig{Timeout: testTimeout})
-					c.keepAliveClient.Transport.(*http.Transport).DialContext = s.Dial
-					c.freshClient.Transport.(*http.Transport).DialContext = s.Dial
+					c.keepAliveClient.Transport.(*head.Transport).Dial = s.Dial
+					c.freshClient.Transport.(*head.Transport).Dial = s.Dial
 					test(is, c, s)
 					c.keepAliveClient.CloseIdleConnections()
 					is.True(s.IsClosedWithin(closeDelay))
