vmlist: a malformed response is no list of VMs

Seen: a list of VMs with a malformed head was used, and marked VMs as about to stop.

Cause: the client reads heads with http.Transport, which accepts malformed ones (see package head).

Change: it uses head.Transport, on reused connections too. The test of endless lists replaces its dialer; it checks the same.

--- a/internal/vmlist/client.go
+++ b/internal/vmlist/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	ring "eelgrassring.dev"
+	"eelgrassring.dev/internal/head"
 )
 
 const (
@@ -39,7 +40,7 @@
 
 // New returns a Client for the service at the configured address.
 func New(c Config) *Client {
-	transport := &http.Transport{IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader}
+	transport := head.NewTransport(&http.Transport{IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxResponseHeader})
 	return &Client{address: c.Address, http: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
--- a/internal/vmlist/endless_test.go
+++ b/internal/vmlist/endless_test.go
@@ -13,6 +13,7 @@
 
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/endless"
+	"eelgrassring.dev/internal/head"
 )
 
 // TestEndlessList guards against holding an endless list of VMs in memory, and against
@@ -31,7 +32,7 @@
 					is := is.New(t)
 					s := &endless.Server{Response: r, Slow: slow}
 					c := New(Config{Address: "s:1"})
-					c.http.Transport.(*http.Transport).DialContext = s.Dial
+					c.http.Transport.(*head.Transport).Dial = s.Dial
 					begin := time.Now()
 					list, err := c.VMs(context.Background())
 					is.Equal(err == nil, r.IsComplete)
