claim: a recorded response that no server can have sent is not replayed

Seen by callers: a repeat with a key whose record has a status below 100, such as the 000 that nodes recorded before, or above 999 ended in a panic and a closed connection, and one with an informational status was replayed as if the response were complete. A content type with a control character or a line break, of another writer, was replayed too, and a record that is done and has no response ended in a panic.

Cause: Evaluate did not look at the recorded response.

Change: a record whose response is missing, has no final status (200 to 999) or has a content type that no header may hold counts as done with an unknown outcome: the request may have run, and does not run again. What cannot be told from a record: a body that was cut because its length was not seen.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -13,14 +13,18 @@
 //
 // Invariants: only the writer of a claim dispatches the request, and only once;
 // no other writer takes a claim over; only its writer deletes a claim, and only if
-// the request was not dispatched; a settled claim never changes.
+// the request was not dispatched; a settled claim never changes; a recorded response
+// that no server can have sent is not replayed, its outcome is unknown.
 package claim
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"net/http"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/catalog"
 )
@@ -58,6 +62,15 @@
 	BodyStored  bool   `json:"kept"`
 }
 
+// isValid reports whether a server can have sent the response: it has a final status and a
+// content type that a header may hold. Another writer may have recorded something else.
+func (r *Response) isValid() bool {
+	return r != nil && r.Status >= http.StatusOK && r.Status <= maxStatus && httpguts.ValidHeaderFieldValue(r.ContentType)
+}
+
+// maxStatus is the largest HTTP status.
+const maxStatus = 999
+
 // MaxBody is the largest response body that is stored, in bytes. The store accepts
 // values of up to a megabyte, and the body is encoded in base64.
 const MaxBody = 640 << 10
@@ -114,7 +127,10 @@
 	}
 	switch stored.State {
 	case StateDone:
-		if stored.Response == nil || !stored.Response.BodyStored {
+		switch {
+		case !stored.Response.isValid():
+			return VerdictOutcomeUnknown
+		case !stored.Response.BodyStored:
 			return VerdictNotStored
 		}
 		return VerdictReplay
