eelgrassd, gateway: tests of malformed responses over TCP and at replicas

TestMalformedResponseReachesNoCaller starts a node and a server that answers with each malformed response, and reads what its caller gets: "may have run", then a sound response on the same connection, and one line 511 each. TestReplicaWithMalformedHeadsIsAvoided checks that the head of a replica that goes on so is paused, as for other broken responses (fleet.MarkFailed).

--- a/cmd/eelgrassd/declared_test.go
+++ b/cmd/eelgrassd/declared_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -25,6 +26,7 @@
 	ring "eelgrassring.dev"
 	"eelgrassring.dev/internal/deployment"
 	"eelgrassring.dev/internal/event"
+	"eelgrassring.dev/internal/head/headtest"
 	"eelgrassring.dev/internal/metric"
 	"eelgrassring.dev/internal/node"
 	"eelgrassring.dev/internal/settings"
@@ -281,3 +283,55 @@
 	}
 	<-stopped
 }
+
+// answerAll answers each connection's request with a text and closes the connection.
+func answerAll(l net.Listener, text func() string) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.Copy(io.Discard, r.Body)
+				_, _ = io.WriteString(c, text())
+			}
+		}()
+	}
+}
+
+// TestMalformedResponseReachesNoCaller guards against a malformed response of a server that the
+// node forwards, or that closes its caller's connection: the caller is told that the request may
+// have run, and gets sound responses on the same connection.
+func TestMalformedResponseReachesNoCaller(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	const body = "the whole body"
+	sound := headtest.Sound(200, "", body)
+	var text atomic.Value
+	text.Store(sound)
+	go answerAll(l, func() string { return text.Load().(string) })
+	url, log, stop := startDeclared(t, l.Addr().String(), "", time.Second)
+	defer stop()
+	malformed := append(headtest.Malformed(200, "", body), headtest.MalformedTrailers(200, "", body)...)
+	for _, r := range malformed {
+		t.Run(r.Name, func(t *testing.T) {
+			is := is.New(t)
+			text.Store(r.Text)
+			response, got, err := callApp(t.Context(), url, http.MethodPost, strings.NewReader("x"))
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusBadGateway)
+			is.Equal(response.Header.Get("Eelgrass-Ran"), "unknown")
+			is.True(!strings.Contains(got, body))
+			text.Store(sound)
+			response, got, err = callApp(t.Context(), url, http.MethodPost, strings.NewReader("x"))
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusOK)
+			is.Equal(got, body)
+		})
+	}
+	is.Equal(strings.Count(log.String(), `"event":511`), len(malformed))
+}
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -255,6 +255,28 @@
 	})
 }
 
+// TestReplicaWithMalformedHeadsIsAvoided is the same for the head of a replica.
+func TestReplicaWithMalformedHeadsIsAvoided(t *testing.T) {
+	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+		malformed := headtest.Malformed(200, malformedCases[2].header(), cutStream)
+		atFailing := 0
+		h.handle = func(server string, n int, _ receivedRequest, s net.Conn) {
+			if server == "e1" {
+				atFailing++
+				fmt.Fprint(s, malformed[n%len(malformed)].Text)
+				return
+			}
+			fmt.Fprint(s, headtest.Sound(200, malformedCases[2].header(), cutStream))
+		}
+		for range 100 {
+			_, _ = h.call("POST", "/single/1", "x")
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.True(atFailing > 0)
+		is.True(atFailing <= 10) // one for each pause, which grow to 1.6 s
+	})
+}
+
 // countingLog returns a log, and a function that returns its lines of malformed responses.
 func countingLog() (*event.Log, func() []string) {
 	var out bytes.Buffer
