--- a/cmd/eelgrassd/declared_test.go
+++ b/cmd/eelgrassd/declared_test.go
@@ -316,7 +316,7 @@
 	go answerAll(l, func() string { return text.Load().(string) })
 	url, log, stop := startDeclared(t, l.Addr().String(), "", time.Second)
 	defer stop()
-	malformed := append(headtest.Malformed(200, "", body), headtest.MalformedTrailers(200, "", body)...)
+	malformed := headtest.Malformed(200, "", body)
 	for _, r := range malformed {
 		t.Run(r.Name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/engine/malformed_test.go
+++ b/internal/engine/malformed_test.go
@@ -18,7 +18,7 @@
 // body. before are sound responses on the same connection.
 func forMalformed(t *testing.T, status int, body string, before []string, test func(is *is.I, c *Control, s *headtest.Server)) {
 	t.Helper()
-	for _, malformed := range append(headtest.Malformed(status, "", body), headtest.MalformedTrailers(status, "", body)...) {
+	for _, malformed := range headtest.Malformed(status, "", body) {
 		t.Run(malformed.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := &headtest.Server{Texts: append(before, malformed.Text)}
--- a/internal/gateway/malformed_declared_test.go
+++ b/internal/gateway/malformed_declared_test.go
@@ -26,7 +26,7 @@
 	if status == 503 {
 		header += "Eelgrass-Ran: no\r\n"
 	}
-	return headtest.Malformed(status, header, body)
+	return headtest.MalformedHeads(status, header, body)
 }
 
 // TestMalformedHeadIsNoResponseToServiceCall is TestMalformedHeadIsNoResponse for the calls of
@@ -197,7 +197,7 @@
 // TestMalformedOptionsShowNoLivingServer is TestMalformedHealthAnswerShowsNoLivingServer for
 // declared services.
 func TestMalformedOptionsShowNoLivingServer(t *testing.T) {
-	for _, malformed := range headtest.Malformed(200, "", cutBody) {
+	for _, malformed := range headtest.MalformedHeads(200, "", cutBody) {
 		t.Run(malformed.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -214,7 +214,7 @@
 // TestMalformedStatusShowsNoEndedServer guards against a request that counts as one that ends
 // servers, because a server answers the question whether it has ended with a malformed head.
 func TestMalformedStatusShowsNoEndedServer(t *testing.T) {
-	for _, malformed := range headtest.Malformed(200, "", "{}") {
+	for _, malformed := range headtest.MalformedHeads(200, "", "{}") {
 		t.Run(malformed.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -231,7 +231,7 @@
 // TestMalformedHeadIsNoCrash guards against striking a request because its server answers with a
 // malformed head: only a server that has ended may have ended under it.
 func TestMalformedHeadIsNoCrash(t *testing.T) {
-	for _, malformed := range headtest.Malformed(200, "", cutBody) {
+	for _, malformed := range headtest.MalformedHeads(200, "", cutBody) {
 		t.Run(malformed.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s, _ := newAnsweringServer(malformed.Text)
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -62,7 +62,7 @@
 				header += "T-NotRun: 1\r\n"
 			}
 			t.Run(fmt.Sprintf("%s %.7q %d, continued %v", c.target, c.body, status, c.isContinued), func(t *testing.T) {
-				for _, malformed := range headtest.Malformed(status, header, c.body) {
+				for _, malformed := range headtest.MalformedHeads(status, header, c.body) {
 					t.Run(malformed.Name, func(t *testing.T) { c.test(t, malformed.Text) })
 				}
 			})
@@ -181,7 +181,7 @@
 // goes to the caller, or that ends the other attempt.
 func TestMalformedHeadLosesARace(t *testing.T) {
 	for _, c := range []malformedCase{malformedCases[1], malformedCases[3]} {
-		for _, malformed := range headtest.Malformed(200, c.header()+notices, c.body) {
+		for _, malformed := range headtest.MalformedHeads(200, c.header()+notices, c.body) {
 			send := func(after time.Duration) func(string, net.Conn, bool) {
 				return func(_ string, s net.Conn, _ bool) {
 					time.Sleep(after)
@@ -215,7 +215,7 @@
 // TestMalformedHealthAnswerShowsNoLivingServer guards against a response without a length that
 // counts as complete because something answers at its server's address.
 func TestMalformedHealthAnswerShowsNoLivingServer(t *testing.T) {
-	for _, malformed := range headtest.Malformed(200, "", cutBody) {
+	for _, malformed := range headtest.MalformedHeads(200, "", cutBody) {
 		t.Run(malformed.Name, func(t *testing.T) {
 			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
 				h.health = func(_ string, s net.Conn) { fmt.Fprint(s, malformed.Text) }
@@ -235,7 +235,7 @@
 // each at once with a malformed head, and that so appears the least loaded.
 func TestServerWithMalformedHeadsIsAvoided(t *testing.T) {
 	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
-		malformed := headtest.Malformed(200, malformedCases[0].header(), cutBody)
+		malformed := headtest.MalformedHeads(200, malformedCases[0].header(), cutBody)
 		h.handle = func(server string, n int, _ receivedRequest, s net.Conn) {
 			if server == "a" {
 				fmt.Fprint(s, malformed[n%len(malformed)].Text)
@@ -258,7 +258,7 @@
 // TestReplicaWithMalformedHeadsIsAvoided is the same for the head of a replica.
 func TestReplicaWithMalformedHeadsIsAvoided(t *testing.T) {
 	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
-		malformed := headtest.Malformed(200, malformedCases[2].header(), cutStream)
+		malformed := headtest.MalformedHeads(200, malformedCases[2].header(), cutStream)
 		atFailing := 0
 		h.handle = func(server string, n int, _ receivedRequest, s net.Conn) {
 			if server == "e1" {
@@ -295,7 +295,7 @@
 // ones that were cut off, and against a log that holds a part of them.
 func TestMalformedResponseIsTold(t *testing.T) {
 	cut := headtest.Response{Name: "cut off", Text: "HTTP/1.1 200 OK\r\nContent-Length: 14\r\n"}
-	malformed := append(headtest.Malformed(200, malformedCases[0].header(), cutBody), headtest.MalformedTrailers(200, malformedCases[0].header(), cutBody)...)
+	malformed := headtest.Malformed(200, malformedCases[0].header(), cutBody)
 	for _, r := range append(malformed, cut) {
 		want := 1
 		if r == cut {
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -54,7 +54,7 @@
 // TestMalformedResponsesAreRefused guards against a malformed response that is returned, or
 // whose error tells a part of it.
 func TestMalformedResponsesAreRefused(t *testing.T) {
-	malformed := append(headtest.Malformed(200, testHeader, testBody), headtest.MalformedTrailers(200, testHeader, testBody)...)
+	malformed := headtest.Malformed(200, testHeader, testBody)
 	for _, r := range malformed {
 		for pace, in := range readers(r.Text) {
 			t.Run(r.Name+" "+pace, func(t *testing.T) {
@@ -156,7 +156,7 @@
 // TestTransportChecksEachResponse guards against checking only the first response on a
 // connection, and against taking the body of one for the head of the next.
 func TestTransportChecksEachResponse(t *testing.T) {
-	malformed := append(headtest.Malformed(200, testHeader, testBody), headtest.MalformedTrailers(200, testHeader, testBody)...)
+	malformed := headtest.Malformed(200, testHeader, testBody)
 	for _, r := range malformed {
 		t.Run(r.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -226,7 +226,7 @@
 // FuzzReadResponse checks that whatever a server sends, a response that is returned has a status
 // and fields, and that it does not depend on the parts in which the bytes arrive.
 func FuzzReadResponse(f *testing.F) {
-	for _, r := range append(headtest.Malformed(200, testHeader, testBody), headtest.Odd(200, testHeader, testBody)...) {
+	for _, r := range append(headtest.MalformedHeads(200, testHeader, testBody), headtest.Odd(200, testHeader, testBody)...) {
 		f.Add([]byte(r.Text))
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/internal/head/headtest/headtest.go
+++ b/internal/head/headtest/headtest.go
@@ -24,10 +24,15 @@
 	return fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, trailer)
 }
 
-// Malformed returns responses whose head, or that of an informational response before it, does
+// Malformed returns those of MalformedHeads and MalformedTrailers.
+func Malformed(status int, header, body string) []Response {
+	return append(MalformedHeads(status, header, body), MalformedTrailers(status, header, body)...)
+}
+
+// MalformedHeads returns responses whose head, or that of an informational response before it, does
 // not follow the grammar of HTTP/1.1. Apart from that, each is a response with the status, the
 // header lines and the body.
-func Malformed(status int, header, body string) []Response {
+func MalformedHeads(status int, header, body string) []Response {
 	rest := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", header, len(body), body)
 	sound := "HTTP/1.1 " + fmt.Sprint(status) + " X\r\n"
 	out := malformedFraming(status, header, body)
--- a/internal/vmlist/malformed_test.go
+++ b/internal/vmlist/malformed_test.go
@@ -17,7 +17,7 @@
 func TestMalformedListIsNoList(t *testing.T) {
 	const list = `[{"vm":"a","state":"leaving"}]`
 	sound := headtest.Sound(200, "", list)
-	for _, malformed := range append(headtest.Malformed(200, "", list), headtest.MalformedTrailers(200, "", list)...) {
+	for _, malformed := range headtest.Malformed(200, "", list) {
 		t.Run(malformed.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
