--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -3,22 +3,22 @@
 // a blank in the name of a field, which it then does not find. It and the reader of a forwarded
 // response would see different fields, or another end of the body.
 //
-// Terms:
+// The head of a response is its status line and its fields, up to an empty line. Heads of
+// informational responses (1xx) come before the final one. A head is malformed, and no response,
+// if
 //
-//   - Head: the status line and the fields of a response, up to an empty line. Heads of
-//     informational responses (1xx) come before the final one.
-//   - Malformed: a head is malformed, and no response, if
-//     its status line is not "HTTP/1.", a digit, one blank, a status from 100 to 999 and, if it
+//   - its status line is not "HTTP/1.", a digit, one blank, a status from 100 to 999 and, if it
 //     goes on, a blank and a reason without control characters other than tabs;
-//     the status is 101, since no request asks for another protocol;
-//     the name of a field is not a token, or its value holds a control character other than a tab;
-//     a field has no colon, or the first line after the status line begins with a blank;
-//     its length is not a number, or is given twice with different values;
-//     its transfer coding is not "chunked", once, or comes with a length or in HTTP/1.0.
+//   - its status is 101, since no request asks for another protocol;
+//   - a field has no colon, its name is not a token, or its value holds a control character other
+//     than a tab;
+//   - the first line after the status line begins with a blank;
+//   - the length of the body is not a number, or is given twice with different values;
+//   - the transfer coding is not "chunked", once, or comes with a length or in HTTP/1.0.
 //
-// A head may be unlike most: no reason, statuses that have no meaning (600 to 999 count as
-// failures of the server), folded values, lines that end without a carriage return, names in any
-// case, any number of informational responses within the limit on the size of all heads.
+// A head may be unlike most: it may have no reason, a status without a meaning (600 to 999 count
+// as failures of the server), folded values, lines that end without a carriage return, names in
+// any case, and any number of informational heads before it within the limit on the size of all.
 //
 // Invariants: no response is returned of which a head is malformed, nor the end of a body whose
 // trailer has a malformed field. What is read is passed on unchanged. A malformed head proves
