head: a test of requests that expect to continue; docs

Informational responses are read with the final one, so that a request with "Expect: 100-continue" must not wait for them: net/http sends its body at once as long as ExpectContinueTimeout is 0.

--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -223,6 +223,34 @@
 	})
 }
 
+// TestTransportSendsABodyAtOnce guards against waiting for the response to "Expect: 100-continue",
+// which is read together with the final one.
+func TestTransportSendsABodyAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		transport := newTestTransport(func(in *bufio.Reader, c net.Conn) {
+			request, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n")
+			_, _ = io.Copy(io.Discard, request.Body)
+			_, _ = io.WriteString(c, headtest.Sound(200, testHeader, testBody))
+		})
+		r, err := http.NewRequest(http.MethodPost, "http://s:1/", strings.NewReader("x"))
+		is.NoErr(err)
+		r.Header.Set("Expect", "100-continue")
+		begin := time.Now()
+		response, err := transport.RoundTrip(r)
+		is.NoErr(err)
+		text, err := io.ReadAll(response.Body)
+		is.NoErr(err)
+		is.Equal(string(text), testBody)
+		is.Equal(time.Since(begin), time.Duration(0))
+		time.Sleep(time.Second)
+	})
+}
+
 // FuzzReadResponse checks that whatever a server sends, a response that is returned has a status
 // and fields, and that it does not depend on the parts in which the bytes arrive.
 func FuzzReadResponse(f *testing.F) {
--- a/internal/head/transport.go
+++ b/internal/head/transport.go
@@ -16,7 +16,8 @@
 }
 
 // NewTransport returns a Transport with the settings of base, which it takes over. The limit on
-// heads, base.MaxResponseHeaderBytes, must be set.
+// heads, base.MaxResponseHeaderBytes, must be set. Informational responses are read together with
+// the final one, so that base.ExpectContinueTimeout must be 0: bodies are sent at once.
 func NewTransport(base *http.Transport) *Transport {
 	t := &Transport{Dial: base.DialContext, base: base}
 	if t.Dial == nil {
