gateway, head: the tests of malformed responses share their frame

The tests of declared servers each wrote the loop over responses in virtual time, two of them the same recover, and a test of head.Transport the server that headtest has. eachAlone, withoutPanic and headtest.Server serve them now. All cases and assertions stay (the counts of test results grow by the subtests that group them); one check is stricter: no field of a malformed response may be forwarded, also one whose name does not begin with "X-", such as "X Y".

--- a/internal/gateway/malformed_declared_test.go
+++ b/internal/gateway/malformed_declared_test.go
@@ -29,49 +29,64 @@
 	return headtest.MalformedHeads(status, header, body)
 }
 
+// eachAlone runs a test in virtual time for each response.
+func eachAlone(t *testing.T, responses []headtest.Response, test func(t *testing.T, is *is.I, text string)) {
+	t.Helper()
+	for _, r := range responses {
+		t.Run(r.Name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				test(t, is.New(t), r.Text)
+				time.Sleep(time.Second) // Connections end.
+			})
+		})
+	}
+}
+
 // TestMalformedHeadIsNoResponseToServiceCall is TestMalformedHeadIsNoResponse for the calls of
 // declared services.
 func TestMalformedHeadIsNoResponseToServiceCall(t *testing.T) {
 	for _, status := range []int{200, 404, 503} {
-		for _, malformed := range malformedDeclared(status, "", cutBody) {
-			for _, c := range []struct {
-				method           string
-				status, attempts int
-			}{{"POST", 502, 1}, {"GET", 200, 2}} {
-				t.Run(fmt.Sprintf("%s %d %s", c.method, status, malformed.Name), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						is := is.New(t)
-						s, requests := newAnsweringServer(malformed.Text, headtest.Sound(200, "", cutBody))
-						p := newServiceCall(s)
-						p.method = c.method
-						w := dispatch(t, p)
-						is.Equal(w.Code, c.status)
-						is.Equal(w.Body.String() == cutBody, c.status == 200)
-						is.Equal(w.Header().Get(headerRan), map[int]string{200: "", 502: "unknown"}[c.status])
-						is.Equal(requests(), c.attempts)
-						for name := range w.Header() {
-							is.True(!strings.HasPrefix(name, "X-") || name == headerShouldRetry)
-						}
-						is.True(s.permits.IsUnused()) // no limit was taken from it
-						time.Sleep(time.Second)
-					})
+		for _, c := range []struct {
+			method           string
+			status, attempts int
+		}{{"POST", 502, 1}, {"GET", 200, 2}} {
+			t.Run(fmt.Sprint(c.method, " ", status), func(t *testing.T) {
+				eachAlone(t, malformedDeclared(status, "", cutBody), func(t *testing.T, is *is.I, text string) {
+					s, requests := newAnsweringServer(text, headtest.Sound(200, "", cutBody))
+					p := newServiceCall(s)
+					p.method = c.method
+					w := dispatch(t, p)
+					is.Equal(w.Code, c.status)
+					is.Equal(w.Body.String() == cutBody, c.status == 200)
+					is.Equal(w.Header().Get(headerRan), map[int]string{200: "", 502: "unknown"}[c.status])
+					is.Equal(requests(), c.attempts)
+					for name := range w.Header() {
+						is.True(!strings.HasPrefix(name, "X") || name == headerShouldRetry)
+					}
+					is.True(s.permits.IsUnused()) // no limit was taken from it
 				})
-			}
+			})
 		}
 	}
 }
 
 // dispatch makes a call without a key and returns its response.
-func dispatch(t *testing.T, p *serviceCall) (w *httptest.ResponseRecorder) {
+func dispatch(t *testing.T, p *serviceCall) *httptest.ResponseRecorder {
+	t.Helper()
+	w := httptest.NewRecorder()
+	withoutPanic(t, func() { p.dispatchWithRetries(t.Context(), w) })
+	return w
+}
+
+// withoutPanic checks that do does not panic, as a ResponseWriter does for a status that is none.
+func withoutPanic(t *testing.T, do func()) {
 	t.Helper()
-	w = httptest.NewRecorder()
 	defer func() {
-		if cause := recover(); cause != nil { // net/http does not write a status that is none.
+		if cause := recover(); cause != nil {
 			t.Errorf("panic: %v", cause)
 		}
 	}()
-	p.dispatchWithRetries(t.Context(), w)
-	return w
+	do()
 }
 
 // newAnsweringServer returns a Server whose n-th connection gets the n-th answer, and a function
@@ -93,23 +108,20 @@
 // a call with a key, or recording that it has not run.
 func TestMalformedHeadIsNotRecorded(t *testing.T) {
 	for _, status := range []int{200, 503} {
-		for _, malformed := range append(malformedDeclared(status, "", cutBody), headtest.MalformedTrailers(status, "", cutBody)...) {
-			t.Run(fmt.Sprint(status, " ", malformed.Name), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					is := is.New(t)
-					s, requests := newAnsweringServer(malformed.Text)
-					w := httptest.NewRecorder()
-					result := newServiceCall(s).dispatchOnce(t.Context(), w)
-					is.True(result.response == nil)
-					is.True(!result.notRun)
-					result.reply()
-					is.Equal(w.Code, http.StatusBadGateway)
-					is.Equal(w.Header().Get(headerRan), "unknown")
-					is.Equal(requests(), 1)
-					time.Sleep(time.Second)
-				})
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			responses := append(malformedDeclared(status, "", cutBody), headtest.MalformedTrailers(status, "", cutBody)...)
+			eachAlone(t, responses, func(t *testing.T, is *is.I, text string) {
+				s, requests := newAnsweringServer(text)
+				w := httptest.NewRecorder()
+				result := newServiceCall(s).dispatchOnce(t.Context(), w)
+				is.True(result.response == nil)
+				is.True(!result.notRun)
+				result.reply()
+				is.Equal(w.Code, http.StatusBadGateway)
+				is.Equal(w.Header().Get(headerRan), "unknown")
+				is.Equal(requests(), 1)
 			})
-		}
+		})
 	}
 }
 
@@ -128,31 +140,27 @@
 		{"continued stream", stream + "Eelgrass-Offset: 1\r\n", rest, true},
 	} {
 		for _, status := range []int{200, 400, 503} {
-			for _, malformed := range malformedDeclared(status, c.header, c.body) {
-				t.Run(fmt.Sprint(c.name, " ", status, " ", malformed.Name), func(t *testing.T) {
-					synctest.Test(t, func(t *testing.T) {
-						is := is.New(t)
-						o, w := newRelay()
-						broken := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", stream, len(first), first)
-						o.server, _ = newAnsweringServer(broken, malformed.Text)
-						if !c.isContinued {
-							o.server, _ = newAnsweringServer(malformed.Text)
-						}
-						o.call = &call{id: "id1", receivedAt: time.Now()}
-						o.request = &completion{stream: true, spliceable: true, path: "/v1/completions", body: []byte("{}")}
-						route, want := node.Route{Group: "g", Address: "s:1"}, ""
-						if c.isContinued {
-							is.True(o.attempt(t.Context(), route, false) != nil)
-							want = first
-						}
-						err := o.attempt(t.Context(), route, c.isContinued)
-						is.True(err != nil && err.stage == stageSent && !err.diverged)
-						is.Equal(w.Body.String(), want)
-						is.True(o.server.permits.IsUnused())
-						time.Sleep(time.Second)
-					})
+			t.Run(fmt.Sprint(c.name, " ", status), func(t *testing.T) {
+				eachAlone(t, malformedDeclared(status, c.header, c.body), func(t *testing.T, is *is.I, text string) {
+					o, w := newRelay()
+					broken := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", stream, len(first), first)
+					o.server, _ = newAnsweringServer(broken, text)
+					if !c.isContinued {
+						o.server, _ = newAnsweringServer(text)
+					}
+					o.call = &call{id: "id1", receivedAt: time.Now()}
+					o.request = &completion{stream: true, spliceable: true, path: "/v1/completions", body: []byte("{}")}
+					route, want := node.Route{Group: "g", Address: "s:1"}, ""
+					if c.isContinued {
+						is.True(o.attempt(t.Context(), route, false) != nil)
+						want = first
+					}
+					err := o.attempt(t.Context(), route, c.isContinued)
+					is.True(err != nil && err.stage == stageSent && !err.diverged)
+					is.Equal(w.Body.String(), want)
+					is.True(o.server.permits.IsUnused())
 				})
-			}
+			})
 		}
 	}
 }
@@ -160,87 +168,61 @@
 // TestOddHeadIsAResponseOfADeclaredServer is TestOddHeadIsAResponse for declared services.
 func TestOddHeadIsAResponseOfADeclaredServer(t *testing.T) {
 	for _, status := range []int{200, 404, 599, 600, 999} {
-		for _, odd := range headtest.Odd(status, "T-Seal: s\r\n", cutBody) {
-			t.Run(fmt.Sprint(status, " ", odd.Name), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					is := is.New(t)
-					s, requests := newAnsweringServer(odd.Text)
-					w := dispatch(t, newServiceCall(s))
-					is.Equal(w.Code, status)
-					is.Equal(w.Body.String(), cutBody)
-					is.Equal(w.Header().Get("T-Seal"), "s")
-					is.Equal(requests(), 1)
-					time.Sleep(time.Second)
-				})
+		t.Run(fmt.Sprint(status), func(t *testing.T) {
+			eachAlone(t, headtest.Odd(status, "T-Seal: s\r\n", cutBody), func(t *testing.T, is *is.I, text string) {
+				s, requests := newAnsweringServer(text)
+				w := dispatch(t, newServiceCall(s))
+				is.Equal(w.Code, status)
+				is.Equal(w.Body.String(), cutBody)
+				is.Equal(w.Header().Get("T-Seal"), "s")
+				is.Equal(requests(), 1)
 			})
-		}
+		})
 	}
 }
 
 // TestMalformedTrailerBreaksTheServiceResponse is TestMalformedTrailerBreaksTheResponse for
 // declared services.
 func TestMalformedTrailerBreaksTheServiceResponse(t *testing.T) {
-	for _, malformed := range headtest.MalformedTrailers(200, "", cutBody) {
-		t.Run(malformed.Name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s, requests := newAnsweringServer(malformed.Text)
-				resp, _, err := newServiceCall(s).sendAndRead(t.Context(), "s:1")
-				if resp != nil || err == nil || err.stage != stageSent || requests() != 1 {
-					t.Errorf("got %v, %v, %d requests", resp, err, requests())
-				}
-				time.Sleep(time.Second)
-			})
-		})
-	}
+	eachAlone(t, headtest.MalformedTrailers(200, "", cutBody), func(t *testing.T, is *is.I, text string) {
+		s, requests := newAnsweringServer(text)
+		resp, _, err := newServiceCall(s).sendAndRead(t.Context(), "s:1")
+		is.True(resp == nil)
+		is.True(err != nil && err.stage == stageSent)
+		is.Equal(requests(), 1)
+	})
 }
 
 // TestMalformedOptionsShowNoLivingServer is TestMalformedHealthAnswerShowsNoLivingServer for
 // declared services.
 func TestMalformedOptionsShowNoLivingServer(t *testing.T) {
-	for _, malformed := range headtest.MalformedHeads(200, "", cutBody) {
-		t.Run(malformed.Name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s, _ := newAnsweringServer("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf", malformed.Text)
-				resp, _, err := newServiceCall(s).sendAndRead(t.Context(), "s:1")
-				is.True(resp == nil)
-				is.True(err != nil && err.stage == stageSent)
-				time.Sleep(time.Second)
-			})
-		})
-	}
+	eachAlone(t, headtest.MalformedHeads(200, "", cutBody), func(t *testing.T, is *is.I, text string) {
+		s, _ := newAnsweringServer("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf", text)
+		resp, _, err := newServiceCall(s).sendAndRead(t.Context(), "s:1")
+		is.True(resp == nil)
+		is.True(err != nil && err.stage == stageSent)
+	})
 }
 
 // TestMalformedStatusShowsNoEndedServer guards against a request that counts as one that ends
 // servers, because a server answers the question whether it has ended with a malformed head.
 func TestMalformedStatusShowsNoEndedServer(t *testing.T) {
-	for _, malformed := range headtest.MalformedHeads(200, "", "{}") {
-		t.Run(malformed.Name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				s, requests := newAnsweringServer(malformed.Text)
-				is.True(!s.hasEnded(t.Context(), node.Route{Group: "g", Address: "s:1"}))
-				is.Equal(requests(), 1)
-				is.True(s.hasEnded(t.Context(), node.Route{Group: "g", Address: "s:1"})) // the connection is refused
-				time.Sleep(time.Second)
-			})
-		})
-	}
+	eachAlone(t, headtest.MalformedHeads(200, "", "{}"), func(t *testing.T, is *is.I, text string) {
+		s, requests := newAnsweringServer(text)
+		is.True(!s.hasEnded(t.Context(), node.Route{Group: "g", Address: "s:1"}))
+		is.Equal(requests(), 1)
+		is.True(s.hasEnded(t.Context(), node.Route{Group: "g", Address: "s:1"})) // the connection is refused
+	})
 }
 
 // TestMalformedHeadIsNoCrash guards against striking a request because its server answers with a
 // malformed head: only a server that has ended may have ended under it.
 func TestMalformedHeadIsNoCrash(t *testing.T) {
-	for _, malformed := range headtest.MalformedHeads(200, "", cutBody) {
-		t.Run(malformed.Name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s, _ := newAnsweringServer(malformed.Text)
-				_, _, err := newServiceCall(s).sendAndRead(t.Context(), "s:1")
-				if err == nil || isBrokenConnection(err) || errors.Is(err, context.DeadlineExceeded) {
-					t.Errorf("got %v", err)
-				}
-				time.Sleep(time.Second)
-			})
-		})
-	}
+	eachAlone(t, headtest.MalformedHeads(200, "", cutBody), func(t *testing.T, is *is.I, text string) {
+		s, _ := newAnsweringServer(text)
+		_, _, err := newServiceCall(s).sendAndRead(t.Context(), "s:1")
+		is.True(err != nil)
+		is.True(!isBrokenConnection(err))
+		is.True(!errors.Is(err, context.DeadlineExceeded))
+	})
 }
--- a/internal/gateway/malformed_test.go
+++ b/internal/gateway/malformed_test.go
@@ -95,7 +95,7 @@
 			t.Errorf("the caller is told to return: %v", w.Header())
 		}
 		for name := range w.Header() {
-			if len(name) > 1 && name[:2] == "X-" {
+			if strings.HasPrefix(name, "X") {
 				t.Errorf("field %q of the malformed response was forwarded", name)
 			}
 		}
--- a/internal/gateway/recorded_test.go
+++ b/internal/gateway/recorded_test.go
@@ -37,14 +37,9 @@
 	_, err = store.Commit(ctx, ring.Txn{Writes: []ring.Write{{Key: claim.Identity{Key: "k"}.StoreKey(), Value: record}}})
 	is.NoErr(err)
 	w := httptest.NewRecorder()
-	func() {
-		defer func() {
-			if cause := recover(); cause != nil {
-				t.Errorf("panic: %v", cause)
-			}
-		}()
+	withoutPanic(t, func() {
 		s.runClaimed(w, r, p.call, "k", testFirstTimeout, func() dispatchResult { return p.dispatchOnce(ctx, w) })
-	}()
+	})
 	is.Equal(requests(), 0) // it runs at most once
 	return w
 }
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -54,8 +54,7 @@
 // TestMalformedResponsesAreRefused guards against a malformed response that is returned, or
 // whose error tells a part of it.
 func TestMalformedResponsesAreRefused(t *testing.T) {
-	malformed := headtest.Malformed(200, testHeader, testBody)
-	for _, r := range malformed {
+	for _, r := range headtest.Malformed(200, testHeader, testBody) {
 		for pace, in := range readers(r.Text) {
 			t.Run(r.Name+" "+pace, func(t *testing.T) {
 				_, _, err := readAll(in, testLimit)
@@ -124,18 +123,21 @@
 	}
 }
 
-// newTestTransport returns a Transport whose connections are served by serve.
-func newTestTransport(serve func(in *bufio.Reader, c net.Conn)) *Transport {
-	t := NewTransport(&http.Transport{DisableCompression: true, MaxResponseHeaderBytes: testLimit})
-	t.Dial = func(context.Context, string, string) (net.Conn, error) {
+// newTestTransport returns a Transport with a dialer.
+func newTestTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Transport {
+	return NewTransport(&http.Transport{DialContext: dial, DisableCompression: true, MaxResponseHeaderBytes: testLimit})
+}
+
+// newServedTransport returns a Transport whose connections are served by serve.
+func newServedTransport(serve func(in *bufio.Reader, c net.Conn)) *Transport {
+	return newTestTransport(func(context.Context, string, string) (net.Conn, error) {
 		client, server := net.Pipe()
 		go func() {
 			defer server.Close()
 			serve(bufio.NewReader(server), server)
 		}()
 		return client, nil
-	}
-	return t
+	})
 }
 
 // post sends a request with the body and returns the body of the response.
@@ -156,27 +158,20 @@
 // TestTransportChecksEachResponse guards against checking only the first response on a
 // connection, and against taking the body of one for the head of the next.
 func TestTransportChecksEachResponse(t *testing.T) {
-	malformed := headtest.Malformed(200, testHeader, testBody)
-	for _, r := range malformed {
+	for _, r := range headtest.Malformed(200, testHeader, testBody) {
 		t.Run(r.Name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				sound := headtest.Odd(200, testHeader, testBody)
+				server := &headtest.Server{}
+				for _, sound := range headtest.Odd(200, testHeader, testBody) {
+					server.Texts = append(server.Texts, strings.Replace(sound.Text, "HTTP/1.0 200 X", "HTTP/1.0 200 X\r\nConnection: keep-alive", 1))
+				}
+				sound := len(server.Texts)
+				server.Texts = append(server.Texts, r.Text)
 				conns := 0
-				transport := newTestTransport(func(in *bufio.Reader, c net.Conn) {
+				transport := newTestTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
 					conns++
-					for i := 0; ; i++ {
-						request, err := http.ReadRequest(in)
-						if err != nil {
-							return
-						}
-						_, _ = io.Copy(io.Discard, request.Body)
-						if i == len(sound) {
-							_, _ = io.WriteString(c, r.Text)
-							return
-						}
-						_, _ = io.WriteString(c, strings.Replace(sound[i].Text, "HTTP/1.0 200 X", "HTTP/1.0 200 X\r\nConnection: keep-alive", 1))
-					}
+					return server.Dial(ctx, network, address)
 				})
 				for range sound {
 					text, err := post(transport, strings.NewReader("x"))
@@ -198,7 +193,7 @@
 func TestTransportReadsAnEarlyResponse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		transport := newTestTransport(func(in *bufio.Reader, c net.Conn) {
+		transport := newServedTransport(func(in *bufio.Reader, c net.Conn) {
 			for {
 				request, err := http.ReadRequest(in)
 				if err != nil {
@@ -228,7 +223,7 @@
 func TestTransportSendsABodyAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		transport := newTestTransport(func(in *bufio.Reader, c net.Conn) {
+		transport := newServedTransport(func(in *bufio.Reader, c net.Conn) {
 			request, err := http.ReadRequest(in)
 			if err != nil {
 				return
