--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -13,8 +13,12 @@
 
 var cases = map[string]caseFunc{
 	"restarted": restarted,
+	"silent":    silentDrain,
 }
 
+// sigLeave makes a worker leave.
+const sigLeave = syscall.SIGUSR1
+
 // The exit codes of a case.
 const (
 	exitHeld = iota
@@ -22,7 +26,7 @@
 	exitNotRun
 )
 
-// runCase runs a case with a deployment of three nodes, four workers with models in two groups
+// runCase runs a case with a deployment of six nodes, four workers with models in two groups
 // and three plain ones.
 func runCase(run caseFunc, program, recordPath string, trouble bool) int {
 	file, err := os.Create(recordPath)
@@ -57,8 +61,11 @@
 	if d.store, err = startStore(); err != nil {
 		return "", err
 	}
+	if d.link, err = startLink(d.store.address); err != nil {
+		return "", err
+	}
 	defer d.close()
-	d.configure(7)
+	d.configure(7, plainService)
 	for i := range 4 {
 		if err := d.startWorker(fmt.Sprintf("i-m%d", i), modelService, "d1", freePort()); err != nil {
 			return "", err
@@ -69,7 +76,10 @@
 			return "", err
 		}
 	}
-	for i := range 3 {
+	if err := d.startWorker("i-q0", otherService, "", freePort()); err != nil {
+		return "", err
+	}
+	for i := range 6 {
 		if err := d.startNode(i, true); err != nil {
 			return "", err
 		}
@@ -92,8 +102,8 @@
 	return "", fmt.Errorf("no worker runs %s", id)
 }
 
-// incident is a node that freezes, and a worker that crashes midway through its answer meanwhile
-// and is back before the node wakes.
+// incident is a worker that crashes midway through its answer and is back before the node has read
+// the end of it: the client reads slowly, or the node is frozen meanwhile.
 type incident struct {
 	request        request
 	before, freeze time.Duration
@@ -103,11 +113,17 @@
 	newID string
 }
 
-// restarted plays two incidents: one with a stream, one with a sign-off. An answer that ends as
-// complete must be the whole one.
+// restarted plays three incidents: a stream whose client reads slowly and a worker that crashes, and
+// a stream and a sign-off whose node is frozen meanwhile. An answer that ends as complete must be the
+// whole one.
 func restarted(d *deployment, trouble bool) (string, error) {
 	var all []string
 	for _, i := range []incident{
+		{
+			// The longest answers of the site have 77 pieces; no page limits what one holds.
+			request: request{id: "slow-1", route: "grade-summary", pieces: 77, size: 1500, every: 40 * time.Millisecond, deadline: 8 * time.Second, pause: 4500 * time.Millisecond},
+			before:  2800 * time.Millisecond, crashAfter: 0, backBy: 700 * time.Millisecond,
+		},
 		{
 			request: request{id: "stream-1", route: "grade-summary", pieces: 28, every: 60 * time.Millisecond, deadline: 8 * time.Second},
 			before:  600 * time.Millisecond, freeze: 3200 * time.Millisecond, crashAfter: 300 * time.Millisecond, backBy: 2600 * time.Millisecond, newID: "i-new",
@@ -139,9 +155,11 @@
 	}
 	if trouble {
 		time.Sleep(i.before)
-		d.record.say("%s freezes", n.name)
 		frozenAt := time.Now()
-		n.signal(syscall.SIGSTOP)
+		if i.freeze > 0 {
+			d.record.say("%s freezes", n.name)
+			n.signal(syscall.SIGSTOP)
+		}
 		time.Sleep(i.crashAfter)
 		d.worker(id).kill()
 		d.record.say("worker %s has crashed", id)
@@ -149,12 +167,14 @@
 		if err := d.restart(id, i.newID); err != nil {
 			return "", err
 		}
-		time.Sleep(time.Until(frozenAt.Add(i.freeze)))
-		n.signal(syscall.SIGCONT)
-		d.record.say("%s wakes", n.name)
+		if i.freeze > 0 {
+			time.Sleep(time.Until(frozenAt.Add(i.freeze)))
+			n.signal(syscall.SIGCONT)
+			d.record.say("%s wakes", n.name)
+		}
 	}
 	out := <-done
-	whole := answer(i.request.id, i.request.pieces)
+	whole := answer(i.request.id, i.request.pieces, i.request.size)
 	if out.isComplete && out.status == 200 && out.body != whole {
 		return fmt.Sprintf("the answer to %s ends as complete with %d of %d bytes of the whole body", i.request.id, len(out.body), len(whole)), nil
 	}
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -22,6 +22,7 @@
 	key          = "key-of-one"
 	modelService = "redactor"
 	plainService = "libro-lab"
+	otherService = "libro-new"
 	modelName    = "m0"
 	modelSize    = 2
 )
@@ -76,6 +77,7 @@
 	program string
 	dir     string
 	store   *store
+	link    *link
 	nodes   []*node
 
 	mu      sync.Mutex
@@ -196,7 +198,7 @@
 	settings := fmt.Sprintf(`{
   "adapter": "platform", "name": %q, "zone": "a", "callers": %q, "ready": %q, "digests": %q, "admin": %q, "store": %q,
   "revocation": "5000ms", "retry": 0.2, "burst": 130, %s "hedge": 0, "memory": 284, "descriptors": 4200, "drain": "8s", "lag": "2s"
-}`, name, out.callers, out.ready, freePort(), freePort(), d.store.address, initial)
+}`, name, out.callers, out.ready, freePort(), freePort(), d.link.address, initial)
 	path := filepath.Join(d.dir, name+".json")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
@@ -215,7 +217,8 @@
 }
 
 // configure writes the operator's configuration.
-func (d *deployment) configure(version int) {
+// The sign-offs and lookups go to the service plain.
+func (d *deployment) configure(version int, plain string) {
 	type object = map[string]any
 	route := func(name, kind, service string, timeout, aim, attempts int) object {
 		isStream := kind == "streaming"
@@ -233,10 +236,10 @@
 		"version": version,
 		"routes": []object{
 			route("grade-summary", "streaming", modelService, 8000, 400, 2),
-			route("cert-signoff", "unsafe", plainService, 1500, 300, 1),
-			route("sample-lookup", "safe", plainService, 1500, 300, 2),
+			route("cert-signoff", "unsafe", plain, 1500, 300, 1),
+			route("sample-lookup", "safe", plain, 1500, 300, 2),
 		},
-		"services": []object{{"name": modelService, "healthPath": "/health", "maxConns": 464, "engine": engine}, {"name": plainService, "healthPath": "/health", "maxConns": 96}},
+		"services": []object{{"name": modelService, "healthPath": "/health", "maxConns": 464, "engine": engine}, {"name": plainService, "healthPath": "/health", "maxConns": 96}, {"name": otherService, "healthPath": "/health", "maxConns": 96}},
 		"tenants":  []object{{"name": "t1", "apiKeys": []string{key}, "priority": 1}},
 		"limits":   object{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
@@ -248,6 +251,10 @@
 	pieces    int
 	every     time.Duration
 	deadline  time.Duration
+	// size is the length of a piece's filling in bytes, and pause how long the client reads
+	// nothing after the head of the answer.
+	size  int
+	pause time.Duration
 }
 
 // result is what the client saw. isComplete is set if the answer ended as complete by the rules
@@ -272,8 +279,21 @@
 	return out
 }
 
+// smallWindow gives a client's socket small packets and a small window, as on a slow link: on
+// loopback the system would hold megabytes for a client that does not read.
+func smallWindow(_, _ string, c syscall.RawConn) error {
+	return c.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, 536)
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 2048)
+	})
+}
+
 func call(address string, r request) result {
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+	dialer := net.Dialer{Timeout: time.Second}
+	if r.pause > 0 {
+		dialer.Control = smallWindow
+	}
+	conn, err := dialer.Dial("tcp", address)
 	if err != nil {
 		return result{err: err}
 	}
@@ -284,15 +304,16 @@
 	if r.route == "grade-summary" {
 		model = fmt.Sprintf("X-Model: %s\r\nX-Token-Count: 40,%d\r\nX-Prompt-Prefix: aa:20,%x:20\r\n", modelName, 6*r.pieces, r.id)
 	}
-	_, err = fmt.Fprintf(conn, "POST /%s/x?pieces=%d&every=%s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-		r.route, r.pieces, r.every, host, key, r.id, r.deadline.Milliseconds(), model, len(text), text)
+	_, err = fmt.Fprintf(conn, "POST /%s/x?pieces=%d&every=%s&size=%d HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		r.route, r.pieces, r.every, r.size, host, key, r.id, r.deadline.Milliseconds(), model, len(text), text)
 	if err != nil {
 		return result{err: err}
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
+	response, err := http.ReadResponse(bufio.NewReaderSize(conn, 512), &http.Request{Method: http.MethodPost})
 	if err != nil {
 		return result{err: err}
 	}
+	time.Sleep(r.pause)
 	var body bytes.Buffer
 	_, err = io.Copy(&body, response.Body)
 	isFramed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
@@ -307,7 +328,7 @@
 			for try := 0; try < 100 && !ok; try++ {
 				id := fmt.Sprintf("warm%d-%s-%d", i, route, try)
 				out := call(n.callers, request{id: id, route: route, pieces: 2, every: 10 * time.Millisecond, deadline: 3 * time.Second})
-				ok = out.isComplete && out.status == http.StatusOK && out.body == answer(id, 2)
+				ok = out.isComplete && out.status == http.StatusOK && out.body == answer(id, 2, 0)
 				if !ok {
 					time.Sleep(200 * time.Millisecond)
 				}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -100,6 +100,24 @@
 	s.notify()
 }
 
+// current returns the present revision, and stateOf the state in a worker's entry if that was
+// written later than a revision.
+func (s *store) current() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+func (s *store) stateOf(id string, after int64) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var entry struct{ State string }
+	if i := s.items["servers/"+id]; i.Revision > after {
+		_ = json.Unmarshal(i.Value, &entry)
+	}
+	return entry.State
+}
+
 // set, unset, notify and endLease are called with mu held.
 func (s *store) set(key string, value []byte, lease int64) {
 	created := s.revision
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -9,10 +9,12 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -40,6 +42,8 @@
 	model    string
 	group    *member
 	running  int
+	// isLeaving is set by SIGUSR1: the worker reports that it drains, and says so in its answers.
+	isLeaving bool
 }
 
 func runWorker(args []string) {
@@ -60,7 +64,15 @@
 	w.address = l.Addr().String()
 	w.say("listens at %s, born %d", w.address, w.born)
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /health", func(out http.ResponseWriter, _ *http.Request) { out.Header().Set("X-Instance-Id", w.id) })
+	mux.HandleFunc("GET /health", func(out http.ResponseWriter, _ *http.Request) {
+		out.Header().Set("X-Instance-Id", w.id)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.isLeaving {
+			out.Header().Set("Server-Leaving", "1")
+			out.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
 	mux.HandleFunc("GET /eelgrassring/report", func(out http.ResponseWriter, _ *http.Request) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -68,6 +80,16 @@
 	})
 	mux.HandleFunc("POST /eelgrassring/order", w.order)
 	mux.HandleFunc("/", w.run)
+	leave := make(chan os.Signal, 1)
+	signal.Notify(leave, syscall.SIGUSR1)
+	go func() {
+		<-leave
+		w.mu.Lock()
+		w.isLeaving = true
+		w.mu.Unlock()
+		w.register()
+		w.say("the store has accepted that it drains")
+	}()
 	go func() {
 		for {
 			w.register()
@@ -105,6 +127,9 @@
 	w.beats++
 	entry["sequence"], entry["service"], entry["address"], entry["zone"], entry["slots"] = w.beats, w.service, w.address, w.zone, 6
 	entry["version"], entry["coldLeftMs"], entry["state"] = "1", 0, "ready"
+	if w.isLeaving {
+		entry["state"] = "draining"
+	}
 	w.mu.Unlock()
 	text, _ := json.Marshal(entry)
 	r, err := http.NewRequest(http.MethodPut, "http://"+w.store+"/worker/"+w.id, bytes.NewReader(text))
@@ -213,6 +238,7 @@
 	}()
 	q := r.URL.Query()
 	pieces, _ := strconv.Atoi(q.Get("pieces"))
+	size, _ := strconv.Atoi(q.Get("size"))
 	interval, _ := time.ParseDuration(q.Get("every"))
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	conn, buffered, err := http.NewResponseController(out).Hijack()
@@ -222,6 +248,11 @@
 	defer conn.Close()
 	w.say("%s: runs from piece %d of %d", id, last+1, pieces)
 	head := "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: seal." + w.id + "\r\nX-Instance-Id: " + w.id + "\r\n"
+	w.mu.Lock()
+	if w.isLeaving {
+		head += "Server-Leaving: 1\r\n"
+	}
+	w.mu.Unlock()
 	if w.domain != "" {
 		head += "Content-Type: text/event-stream\r\n\r\n"
 	} else {
@@ -230,7 +261,7 @@
 	_, _ = buffered.WriteString(head)
 	for n := last + 1; n <= pieces; n++ {
 		time.Sleep(interval)
-		_, _ = buffered.WriteString(piece(id, n))
+		_, _ = buffered.WriteString(piece(id, n, size))
 		if buffered.Flush() != nil {
 			w.say("%s: its caller has left at piece %d", id, n)
 			return
@@ -241,13 +272,15 @@
 }
 
 // piece is the n-th piece of the answer to a request.
-func piece(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", n, id, n) }
+func piece(id string, n, size int) string {
+	return fmt.Sprintf("id: %d\ndata: %s piece %d %s\n\n", n, id, n, strings.Repeat("x", size))
+}
 
 // answer is the whole answer to a request.
-func answer(id string, pieces int) string {
+func answer(id string, pieces, size int) string {
 	var b strings.Builder
 	for n := 1; n <= pieces; n++ {
-		b.WriteString(piece(id, n))
+		b.WriteString(piece(id, n, size))
 	}
 	return b.String()
 }
