--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -14,6 +14,16 @@
 var cases = map[string]caseFunc{
 	"restarted": restarted,
 	"silent":    silentDrain,
+	"limited":   limited,
+	"framed":    limited,
+	"paused":    paused,
+}
+
+// prepare holds the flags of plain workers that are part of the disruption of a case.
+var prepare = map[string][]string{
+	"limited": {"--limit", limit},
+	"framed":  {"--limit", limit, "--framed"},
+	"paused":  {"--retry-after", pause},
 }
 
 // sigLeave makes a worker leave.
@@ -28,14 +38,17 @@
 
 // runCase runs a case with a deployment of six nodes, four workers with models in two groups
 // and three plain ones.
-func runCase(run caseFunc, program, recordPath string, trouble bool) int {
+func runCase(name string, run caseFunc, program, recordPath string, trouble bool) int {
 	file, err := os.Create(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
 	defer file.Close()
-	d := &deployment{record: &record{out: file}, program: program, workers: map[string]*workerProcess{}, runners: map[string][]string{}}
+	d := &deployment{record: &record{out: file}, program: program, workers: map[string]*workerProcess{}, runners: map[string][]string{}, arrivals: map[string][]arrival{}}
+	if trouble && prepare[name] != nil {
+		d.workerFlags = prepare[name]
+	}
 	broken, err := d.play(run, trouble)
 	switch {
 	case err != nil:
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -71,6 +71,12 @@
 	args        []string
 }
 
+// arrival is a request at a worker.
+type arrival struct {
+	at                  time.Time
+	isHealth, isRefused bool
+}
+
 // deployment is a small deployment on loopback addresses.
 type deployment struct {
 	record  *record
@@ -82,6 +88,10 @@
 
 	mu      sync.Mutex
 	workers map[string]*workerProcess
+	// arrivals holds when plain workers got requests, health checks and refused ones included.
+	arrivals map[string][]arrival
+	// workerFlags are added to those of the plain workers.
+	workerFlags []string
 	// runners holds the workers that began to run a request, in their order.
 	runners map[string][]string
 }
@@ -135,8 +145,18 @@
 		return err
 	}
 	args := []string{"worker", "--id", id, "--service", service, "--store", d.store.address, "--address", address, "--domain", domain}
+	if domain == "" {
+		args = append(args, d.workerFlags...)
+	}
 	p, err := start(id, own, args, func(line string) {
 		d.record.line(line)
+		isHealth := strings.HasSuffix(line, "gets a health check")
+		isRefused := strings.Contains(line, "503, not run")
+		if isHealth || isRefused || strings.Contains(line, ": runs from") {
+			d.mu.Lock()
+			d.arrivals[id] = append(d.arrivals[id], arrival{time.Now(), isHealth, isRefused})
+			d.mu.Unlock()
+		}
 		if request, isRun := runOf(line); isRun {
 			d.mu.Lock()
 			d.runners[request] = append(d.runners[request], id)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -28,5 +28,5 @@
 		fmt.Fprintln(os.Stderr, "no such case:", os.Args[1])
 		os.Exit(2)
 	}
-	os.Exit(runCase(c, *node, *out, *trouble))
+	os.Exit(runCase(os.Args[1], c, *node, *out, *trouble))
 }
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -30,7 +30,7 @@
 }
 
 // worker is a worker process. Its answers have neither a length nor chunks and end with their
-// connection, as the pages allow. It prints a line when a run begins and ends.
+// connection, as the pages allow, unless it is told otherwise. It prints a line when a run begins and ends.
 type worker struct {
 	id, service, address, store, zone, domain string
 	born                                      int64
@@ -44,6 +44,14 @@
 	running  int
 	// isLeaving is set by SIGUSR1: the worker reports that it drains, and says so in its answers.
 	isLeaving bool
+	// limit, if it is not empty, is the Server-Limit that the answers name, and isFramed is set if
+	// they have a length.
+	limit    string
+	isFramed bool
+	// slots is how many requests run at a time, and retryAfter, if it is not empty, what an answer
+	// says that turns one away.
+	slots      int
+	retryAfter string
 }
 
 func runWorker(args []string) {
@@ -55,6 +63,10 @@
 	set.StringVar(&w.store, "store", "", "address of the store")
 	set.StringVar(&w.zone, "zone", "a", "zone")
 	set.StringVar(&w.domain, "domain", "", "fabric domain, empty for a plain service")
+	set.StringVar(&w.limit, "limit", "", "Server-Limit that the answers name")
+	set.BoolVar(&w.isFramed, "framed", false, "answers have a length")
+	set.IntVar(&w.slots, "slots", 6, "requests at a time")
+	set.StringVar(&w.retryAfter, "retry-after", "", "Retry-After of refusals")
 	_ = set.Parse(args)
 	l, err := net.Listen("tcp", w.address)
 	if err != nil {
@@ -65,7 +77,11 @@
 	w.say("listens at %s, born %d", w.address, w.born)
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", func(out http.ResponseWriter, _ *http.Request) {
+		w.say("gets a health check")
 		out.Header().Set("X-Instance-Id", w.id)
+		if w.limit != "" {
+			out.Header().Set("Server-Limit", w.limit)
+		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.isLeaving {
@@ -125,7 +141,7 @@
 	w.mu.Lock()
 	entry := w.state()
 	w.beats++
-	entry["sequence"], entry["service"], entry["address"], entry["zone"], entry["slots"] = w.beats, w.service, w.address, w.zone, 6
+	entry["sequence"], entry["service"], entry["address"], entry["zone"], entry["slots"] = w.beats, w.service, w.address, w.zone, w.slots
 	entry["version"], entry["coldLeftMs"], entry["state"] = "1", 0, "ready"
 	if w.isLeaving {
 		entry["state"] = "draining"
@@ -212,19 +228,23 @@
 	_, _ = io.ReadAll(r.Body)
 	id := r.Header.Get("X-Attempt-Id")
 	refuse := func(status int) {
+		if status == http.StatusServiceUnavailable && w.retryAfter != "" {
+			out.Header().Set("Retry-After", w.retryAfter)
+		}
 		out.Header().Set("X-Instance-Id", w.id)
 		out.Header().Set("X-Not-Executed", "1")
 		out.WriteHeader(status)
 		w.say("%s: %d, not run", id, status)
 	}
 	w.mu.Lock()
+	isFull := w.domain == "" && w.running >= w.slots
 	expected, isHead := r.Header.Get("X-Expect-Instance"), w.domain == "" || (w.group != nil && w.group.Rank == 0 && w.group.State == "open")
 	w.mu.Unlock()
 	switch {
 	case expected != "" && expected != w.id:
 		refuse(http.StatusMisdirectedRequest)
 		return
-	case !isHead:
+	case !isHead, isFull:
 		refuse(http.StatusServiceUnavailable)
 		return
 	}
@@ -248,6 +268,12 @@
 	defer conn.Close()
 	w.say("%s: runs from piece %d of %d", id, last+1, pieces)
 	head := "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: seal." + w.id + "\r\nX-Instance-Id: " + w.id + "\r\n"
+	if w.limit != "" {
+		head += "Server-Limit: " + w.limit + "\r\n"
+	}
+	if w.isFramed {
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(answer(id, pieces, size))-len(answer(id, last, size)))
+	}
 	w.mu.Lock()
 	if w.isLeaving {
 		head += "Server-Leaving: 1\r\n"
