Review case 11: streams given up for a replica that refuses them

Looked for: accepted streams that end early while their worker is sound and silent for a second (the entry TestSilentServerIsWaitedForWhenAnotherFails), with real processes and no fault but the silence.

--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -17,6 +17,7 @@
 	"limited":   limited,
 	"framed":    limited,
 	"paused":    paused,
+	"herd":      herd,
 }
 
 // prepare holds the flags of plain workers that are part of the disruption of a case.
@@ -36,7 +37,7 @@
 	exitNotRun
 )
 
-// runCase runs a case with a deployment of six nodes, four workers with models in two groups
+// runCase runs a case with a deployment of six nodes, four workers with models, in two domains and two groups,
 // and three plain ones.
 func runCase(name string, run caseFunc, program, recordPath string, trouble bool) int {
 	file, err := os.Create(recordPath)
@@ -80,7 +81,7 @@
 	defer d.close()
 	d.configure(7, plainService)
 	for i := range 4 {
-		if err := d.startWorker(fmt.Sprintf("i-m%d", i), modelService, "d1", freePort()); err != nil {
+		if err := d.startWorker(fmt.Sprintf("i-m%d", i), modelService, fmt.Sprintf("d%d", i%2), freePort()); err != nil {
 			return "", err
 		}
 	}
--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -25,6 +26,7 @@
 	otherService = "libro-new"
 	modelName    = "m0"
 	modelSize    = 2
+	engineSlots  = 26
 )
 
 // record is what was sent, answered and run, in the order of its times.
@@ -147,6 +149,8 @@
 	args := []string{"worker", "--id", id, "--service", service, "--store", d.store.address, "--address", address, "--domain", domain}
 	if domain == "" {
 		args = append(args, d.workerFlags...)
+	} else {
+		args = append(args, "--slots", strconv.Itoa(engineSlots), "--queue", "4")
 	}
 	p, err := start(id, own, args, func(line string) {
 		d.record.line(line)
@@ -249,13 +253,14 @@
 		return r
 	}
 	engine := object{
-		"slots": 26, "kvCapacity": 2470000, "stride": 6, "step_ms": 6.45, "per_seq_ms": 0.0967, "context_per_k": 0.00293, "read_per_s": 56100.0, "pairs_per_m": 0.309,
+		"slots": engineSlots, "kvCapacity": 2470000, "stride": 6, "step_ms": 6.45, "per_seq_ms": 0.0967, "context_per_k": 0.00293, "read_per_s": 56100.0, "pairs_per_m": 0.309,
 		"report_lag_ms": 200.0, "loadsPerS": 5.5, "loads_at_once": 8, "models": []object{{"name": modelName, "size": modelSize, "share": 1.0, "pace": 1.0, "loadS": 1.0, "warmS": 0.5}},
 	}
 	d.store.put("op/config", object{
 		"version": version,
 		"routes": []object{
 			route("grade-summary", "streaming", modelService, 8000, 400, 2),
+			route("assay-check", "streaming", modelService, 5000, 400, 2),
 			route("cert-signoff", "unsafe", plain, 1500, 300, 1),
 			route("sample-lookup", "safe", plain, 1500, 300, 2),
 		},
@@ -285,17 +290,22 @@
 	isComplete bool
 	body       string
 	err        error
+	took       time.Duration
+	// gap is how long before the end the last bytes came.
+	gap time.Duration
 }
 
 // send sends a request to a node on a new connection and reads the answer.
 func (d *deployment) send(n *node, r request) result {
 	d.record.say("client: sends %s (%s) to %s: %d pieces, one each %s", r.id, r.route, n.name, r.pieces, r.every)
+	begin := time.Now()
 	out := call(n.callers, r)
+	out.took = time.Since(begin)
 	what := "ends as complete"
 	if !out.isComplete {
 		what = fmt.Sprintf("is broken off (%v)", out.err)
 	}
-	d.record.say("client: the answer to %s has status %d, seal %q, %d of %d pieces and %s", r.id, out.status, out.seal, strings.Count(out.body, "data: "), r.pieces, what)
+	d.record.say("client: the answer to %s has status %d, seal %q, %d of %d pieces and %s after %v", r.id, out.status, out.seal, strings.Count(out.body, "data: "), r.pieces, what, out.took.Round(time.Millisecond))
 	return out
 }
 
@@ -321,7 +331,7 @@
 	_ = conn.SetDeadline(time.Now().Add(r.deadline + 2*time.Second))
 	text := "{}"
 	model := ""
-	if r.route == "grade-summary" {
+	if r.route == "grade-summary" || r.route == "assay-check" {
 		model = fmt.Sprintf("X-Model: %s\r\nX-Token-Count: 40,%d\r\nX-Prompt-Prefix: aa:20,%x:20\r\n", modelName, 6*r.pieces, r.id)
 	}
 	_, err = fmt.Fprintf(conn, "POST /%s/x?pieces=%d&every=%s&size=%d HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s",
@@ -335,9 +345,19 @@
 	}
 	time.Sleep(r.pause)
 	var body bytes.Buffer
-	_, err = io.Copy(&body, response.Body)
+	lastAt, part := time.Now(), make([]byte, 4096)
+	for err == nil {
+		var n int
+		n, err = response.Body.Read(part)
+		if body.Write(part[:n]); n > 0 {
+			lastAt = time.Now()
+		}
+	}
+	if err == io.EOF {
+		err = nil
+	}
 	isFramed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0
-	return result{status: response.StatusCode, seal: response.Header.Get("X-Response-Seal"), isComplete: err == nil && isFramed, body: body.String(), err: err}
+	return result{status: response.StatusCode, seal: response.Header.Get("X-Response-Seal"), isComplete: err == nil && isFramed, body: body.String(), err: err, gap: time.Since(lastAt)}
 }
 
 // awaitService waits until each node serves both services.
--- a/review/standin-3/worker.go
+++ b/review/standin-3/worker.go
@@ -52,6 +52,9 @@
 	// says that turns one away.
 	slots      int
 	retryAfter string
+	// queue is how many more wait for a slot. A request that waits has not begun to run.
+	queue int
+	free  chan struct{}
 }
 
 func runWorker(args []string) {
@@ -66,8 +69,10 @@
 	set.StringVar(&w.limit, "limit", "", "Server-Limit that the answers name")
 	set.BoolVar(&w.isFramed, "framed", false, "answers have a length")
 	set.IntVar(&w.slots, "slots", 6, "requests at a time")
+	set.IntVar(&w.queue, "queue", 0, "requests that wait for a slot")
 	set.StringVar(&w.retryAfter, "retry-after", "", "Retry-After of refusals")
 	_ = set.Parse(args)
+	w.free = make(chan struct{}, w.slots)
 	l, err := net.Listen("tcp", w.address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -237,7 +242,7 @@
 		w.say("%s: %d, not run", id, status)
 	}
 	w.mu.Lock()
-	isFull := w.domain == "" && w.running >= w.slots
+	isFull := w.running >= w.slots+w.queue
 	expected, isHead := r.Header.Get("X-Expect-Instance"), w.domain == "" || (w.group != nil && w.group.Rank == 0 && w.group.State == "open")
 	w.mu.Unlock()
 	switch {
@@ -266,6 +271,8 @@
 		return
 	}
 	defer conn.Close()
+	w.free <- struct{}{}
+	defer func() { <-w.free }()
 	w.say("%s: runs from piece %d of %d", id, last+1, pieces)
 	head := "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: seal." + w.id + "\r\nX-Instance-Id: " + w.id + "\r\n"
 	if w.limit != "" {
