--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -123,14 +124,27 @@
 	return p, nil
 }
 
+// The ports of nodes and workers are below those that the system uses for outgoing connections, so
+// that none takes one between the check and its use.
+const (
+	firstPort = 12000
+	lastPort  = 19999
+)
+
+// usedPorts holds the ports that freePort has returned.
+var usedPorts sync.Map
+
 // freePort returns a loopback address whose port is free for TCP and UDP.
 func freePort() string {
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort))
+		if _, isUsed := usedPorts.LoadOrStore(address, true); isUsed {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
-		address := l.Addr().String()
 		u, err := net.ListenPacket("udp", address)
 		l.Close()
 		if err == nil {
