head, gateway: no end of a response after a failed write of its request

What callers saw: a server responds early to an upload with a 200 that has neither a length nor chunks, sends a part of the body and resets the connection while the upload is being written. The caller gets that part as a complete response; a request that may be repeated is not repeated, and one with an idempotency key is recorded with it.

Cause: the kernel reports the reset of a connection once, to the call that comes first. If that is the write of the upload, which runs beside the read (bodies over 16 KB, and all of http.Transport), the reads return what has arrived and then the end of the stream, as if the server had closed the connection in order. The check that follows asks whether the server lives, which it does. The error of the write was looked at only if the head could not be read.

Change: the connection itself holds the rule, for all that read responses. head.Conn, which was under head.Transport only, is that of the gateway's exchange too. It follows the writes of the request and returns the end of an unframed body only after the whole request has been written, waits for a write that is under way (the end may be read before the write returns), and ends with an error after one that failed. Whether a request is whole comes from WriteRequest, or from the transport's trace. Heads and framed bodies show themselves that they were cut off, so they wait for nothing. The deadline of the connection, or closing it, ends the wait.

Ruled out: a check of the error without the wait. A sound early response whose server closes the connection without having read the upload cannot be told from a part, and is taken for one.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -39,7 +39,7 @@
 // connection is never reused, so that a response to another request cannot be
 // taken for the response to this one.
 type exchange struct {
-	conn     net.Conn
+	conn     *head.Conn
 	response *http.Response
 	// header holds the response header's fields as read by the dialect.
 	header ring.AnswerHeader
@@ -80,23 +80,15 @@
 	req.sentAt = time.Now()
 	_ = conn.SetDeadline(deadline)
 	x := f.newExchange(ctx, conn)
-	sent := make(chan error, 1)
 	request := f.requestHead(req, server, lastEventID)
 	if len(req.body) <= maxInlineBody {
-		_, err := conn.Write(append(request, req.body...))
-		sent <- err
+		_ = x.conn.WriteRequest(append(request, req.body...)) // Its error is that of the response too.
 	} else {
-		go func() {
-			_, err := conn.Write(request)
-			if err == nil {
-				_, err = conn.Write(req.body) // A copy would double the memory of a large body.
-			}
-			sent <- err
-		}()
+		go func() { _ = x.conn.WriteRequest(request, req.body) }() // A copy would double the memory of a large body.
 	}
 	if err := x.readHeader(req.method); err != nil {
 		x.close()
-		if writeErr := <-sent; writeErr != nil {
+		if writeErr := x.conn.RequestError(); writeErr != nil && !errors.Is(err, writeErr) {
 			err = fmt.Errorf("%w (sending: %w)", err, writeErr)
 		}
 		req.mayHaveRun = true
@@ -123,7 +115,7 @@
 
 // newExchange returns an exchange on a connection, which is aborted when the context ends.
 func (f *Front) newExchange(ctx context.Context, conn net.Conn) *exchange {
-	x := &exchange{conn: conn, bodies: f.bodies, releaseBody: func() {}}
+	x := &exchange{conn: head.NewConn(conn, maxResponseHead), bodies: f.bodies, releaseBody: func() {}}
 	x.stopAbort = context.AfterFunc(ctx, x.abort)
 	return x
 }
@@ -175,7 +167,7 @@
 // readHeader reads the header of the final response and skips informational ones. It
 // returns an error if they are malformed or too long.
 func (x *exchange) readHeader(method string) error {
-	response, err := head.ReadResponse(x.conn, maxResponseHead, method)
+	response, err := x.conn.ReadResponse(method)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/foreign_test.go
+++ b/internal/gateway/foreign_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -95,7 +96,11 @@
 		n++
 		go func() {
 			defer server.Close()
-			if _, err := http.ReadRequest(bufio.NewReader(server)); err == nil {
+			r, err := http.ReadRequest(bufio.NewReader(server))
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err == nil {
 				fmt.Fprint(server, answer)
 			}
 		}()
--- a/internal/gateway/liveness.go
+++ b/internal/gateway/liveness.go
@@ -113,7 +113,7 @@
 	}
 	x := f.newExchange(ctx, conn)
 	defer x.close()
-	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", lineBreaks.Replace(path), server.Address); err != nil {
+	if err := x.conn.WriteRequest(fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\n\r\n", lineBreaks.Replace(path), server.Address)); err != nil {
 		return err
 	}
 	if err := x.readHeader(http.MethodGet); err != nil {
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -1,4 +1,6 @@
-// Package head reads the heads of responses by the grammar of HTTP/1.1 (RFC 9110, RFC 9112).
+// Package head reads responses: their heads by the grammar of HTTP/1.1 (RFC 9110, RFC 9112), and
+// the end of those that end with their connection.
+//
 // net/http accepts more: a status of three characters that are a number, such as +20 or 000, and
 // a blank in the name of a field, which it then does not find. It and the reader of a forwarded
 // response would see different fields, or another end of the body.
@@ -20,8 +22,18 @@
 // as failures of the server), folded values, lines that end without a carriage return, names in
 // any case, and any number of informational heads before it within the limit on the size of all.
 //
+// A response with neither a length nor chunks ends with its connection. When a connection ends by a
+// reset or a time-out, the kernel reports that once, to the call that comes first. If that is a
+// write of the request, reads return what has arrived, and then the end of the stream, as if the
+// server had closed the connection in order. So the end counts only after the whole request has
+// been written, and not after a failed write. A read waits for a write that is under way: it may
+// see the end before the write returns. A server may respond early and end its side, as long as it
+// reads the request to its end. If it closes the connection before that, its response cannot be
+// told from a part of one.
+//
 // Invariants: no response is returned of which a head is malformed, nor the end of a body whose
-// trailer has a malformed field. What is read is passed on unchanged. A malformed head proves
+// trailer has a malformed field, nor the end of one that ends with a connection to which the
+// request could not be written. What is read is passed on unchanged. A malformed head proves
 // nothing but that the request may have run. Errors hold no part of what was read: it may be part
 // of a body.
 package head
@@ -61,8 +73,9 @@
 	// has a transfer coding.
 	length    string
 	hasCoding bool
-	// isDone is set after the final head.
-	isDone bool
+	// isDone is set after the final head, and isUnframed if its body then ends with the connection,
+	// unless the request allows none.
+	isDone, isUnframed bool
 }
 
 // reset makes the checker expect the heads of the next response.
@@ -194,6 +207,7 @@
 		return malformed("both a length and a transfer coding")
 	}
 	c.isDone = c.status >= http.StatusOK
+	c.isUnframed = c.length == "" && !c.hasCoding && c.status != http.StatusNoContent && c.status != http.StatusNotModified
 	c.lines, c.length, c.hasCoding = 0, "", false
 	return nil
 }
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -36,6 +36,9 @@
 // Read implements net.Conn.
 func (c textConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
 
+// Write implements net.Conn.
+func (c textConn) Write(p []byte) (int, error) { return len(p), nil }
+
 // readers returns readers of a text that return it in one or in many parts.
 func readers(text string) map[string]io.Reader {
 	return map[string]io.Reader{"at once": strings.NewReader(text), "by bytes": iotest.OneByteReader(strings.NewReader(text))}
@@ -43,7 +46,11 @@
 
 // readAll reads a response and its body.
 func readAll(in io.Reader, limit int) (*http.Response, string, error) {
-	response, err := ReadResponse(textConn{Reader: in}, limit, http.MethodPost)
+	c := NewConn(textConn{Reader: in}, limit)
+	if err := c.WriteRequest([]byte("request")); err != nil {
+		return nil, "", err
+	}
+	response, err := c.ReadResponse(http.MethodPost)
 	if err != nil {
 		return nil, "", err
 	}
--- a/internal/head/transport.go
+++ b/internal/head/transport.go
@@ -28,17 +28,25 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c, limit: int(base.MaxResponseHeaderBytes)}, nil
+		return NewConn(c, int(base.MaxResponseHeaderBytes)), nil
 	}
 	return t
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	// It is called right before the request is written, when the connection carries nothing else.
-	gotConn := func(info httptrace.GotConnInfo) { info.Conn.(*conn).expectResponse() }
-	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{GotConn: gotConn})
-	response, err := t.base.RoundTrip(r.WithContext(ctx))
+	var c *Conn
+	trace := &httptrace.ClientTrace{
+		// It is called right before the request is written, when the connection carries nothing else.
+		GotConn: func(info httptrace.GotConnInfo) {
+			c = info.Conn.(*Conn)
+			c.expectRequest()
+		},
+		// The last bytes may be buffered. They are the only ones then, but for a long head without
+		// a body.
+		WroteRequest: func(info httptrace.WroteRequestInfo) { c.request.end(info.Err) },
+	}
+	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
 		return nil, err
 	}
