--- a/internal/gateway/reset_declared_test.go
+++ b/internal/gateway/reset_declared_test.go
@@ -77,7 +77,7 @@
 func TestResetCallGetsNoPartOfAResponse(t *testing.T) {
 	for _, c := range resetCalls {
 		t.Run(c.method, func(t *testing.T) {
-			eachResetCall(t, unframed("", cutBody[:9]), headtest.Sound(200, "", cutBody), func(t *testing.T, is *is.I, s *Server, size int, requests func() int) {
+			eachResetCall(t, headtest.Unframed(200, "", cutBody[:9]), headtest.Sound(200, "", cutBody), func(t *testing.T, is *is.I, s *Server, size int, requests func() int) {
 				checkCall(is, dispatch(t, newUpload(s, c.method, size)), c.status)
 				is.Equal(requests(), c.attempts)
 			})
@@ -88,7 +88,7 @@
 // TestPartOfAResponseIsNotRecorded guards against recording a part of a response as the outcome of
 // a call with a key.
 func TestPartOfAResponseIsNotRecorded(t *testing.T) {
-	eachResetCall(t, unframed("", cutBody[:9]), headtest.Sound(200, "", cutBody), func(t *testing.T, is *is.I, s *Server, size int, requests func() int) {
+	eachResetCall(t, headtest.Unframed(200, "", cutBody[:9]), headtest.Sound(200, "", cutBody), func(t *testing.T, is *is.I, s *Server, size int, requests func() int) {
 		w := httptest.NewRecorder()
 		result := newUpload(s, http.MethodPost, size).dispatchOnce(t.Context(), w)
 		is.True(result.response == nil)
@@ -103,7 +103,7 @@
 func TestPartOfAResponseIsNoCompletion(t *testing.T) {
 	for _, header := range []string{"Content-Type: application/json\r\n", "Content-Type: text/event-stream\r\n"} {
 		t.Run(header, func(t *testing.T) {
-			eachResetCall(t, unframed(header, "{}"), headtest.Sound(200, header, "{}"), func(t *testing.T, is *is.I, s *Server, size int, _ func() int) {
+			eachResetCall(t, headtest.Unframed(200, header, "{}"), headtest.Sound(200, header, "{}"), func(t *testing.T, is *is.I, s *Server, size int, _ func() int) {
 				o, w := newRelay()
 				o.server, o.call = s, &call{id: "id1", receivedAt: time.Now()}
 				o.request = &completion{path: "/v1/completions", body: make([]byte, size)}
@@ -121,7 +121,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			defer time.Sleep(time.Second)
 			is := is.New(t)
-			s, requests := newAnsweringServer(unframed("", cutBody), headtest.Sound(200, "", ""))
+			s, requests := newAnsweringServer(headtest.Unframed(200, "", cutBody), headtest.Sound(200, "", ""))
 			makeSlow(s, headtest.SlowConn{Delay: 10 * time.Millisecond})
 			checkCall(is, dispatch(t, newUpload(s, http.MethodPost, size)), http.StatusOK)
 			is.Equal(requests(), 2) // the second one checks that the server lives
@@ -134,7 +134,7 @@
 	for _, c := range resetCalls {
 		t.Run(c.method, func(t *testing.T) {
 			eachReset(t, func(t *testing.T, upload string, server *headtest.EarlyServer) {
-				server.Part, server.Whole = unframed("", cutBody[:9]), headtest.Sound(200, "", cutBody)
+				server.Part, server.Whole = headtest.Unframed(200, "", cutBody[:9]), headtest.Sound(200, "", cutBody)
 				withDeclaredEarlyServer(t, server, func(s *Server) {
 					is := is.New(t)
 					checkCall(is, dispatch(t, newUpload(s, c.method, len(upload))), c.status)
@@ -149,7 +149,7 @@
 func TestEarlyEndOfACallOverTCP(t *testing.T) {
 	for _, size := range []int{100, 1 << 20, 4 << 20} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) {
-			server := &headtest.EarlyServer{Whole: unframed("", cutBody), EndsEarly: true}
+			server := &headtest.EarlyServer{Whole: headtest.Unframed(200, "", cutBody), EndsEarly: true}
 			withDeclaredEarlyServer(t, server, func(s *Server) {
 				is := is.New(t)
 				checkCall(is, dispatch(t, newUpload(s, http.MethodPost, size)), http.StatusOK)
--- a/internal/gateway/reset_test.go
+++ b/internal/gateway/reset_test.go
@@ -13,11 +13,6 @@
 	"eelgrassring.dev/internal/head/headtest"
 )
 
-// unframed returns a response with neither a length nor chunks, which ends with its connection.
-func unframed(header, body string) string {
-	return "HTTP/1.1 200 OK\r\n" + header + "\r\n" + body
-}
-
 // resetCase is an upload to a Front whose first server sends a part of an unframed response and
 // resets the connection, with what its caller gets.
 type resetCase struct {
@@ -84,7 +79,7 @@
 						}
 						h.handle = func(_ string, n int, _ receivedRequest, s net.Conn) {
 							if n == 1 {
-								fmt.Fprint(s, unframed(c.header()+notices, c.part))
+								fmt.Fprint(s, headtest.Unframed(200, c.header()+notices, c.part))
 								return
 							}
 							fmt.Fprint(s, headtest.Sound(200, c.header(), c.body))
@@ -111,7 +106,9 @@
 						conn, err := h.dial(ctx, network, address)
 						return &headtest.SlowConn{Conn: conn, Delay: 10 * time.Millisecond}, err
 					}
-					h.handle = func(_ string, _ int, _ receivedRequest, s net.Conn) { fmt.Fprint(s, unframed(c.header(), c.body)) }
+					h.handle = func(_ string, _ int, _ receivedRequest, s net.Conn) {
+						fmt.Fprint(s, headtest.Unframed(200, c.header(), c.body))
+					}
 					w, isBroken := h.call("POST", c.target, strings.Repeat("x", size))
 					is.True(!isBroken)
 					is.Equal(w.Code, 200)
@@ -169,7 +166,7 @@
 	for _, c := range resetCases {
 		t.Run(c.name, func(t *testing.T) {
 			eachReset(t, func(t *testing.T, upload string, s *headtest.EarlyServer) {
-				s.Part, s.Whole = unframed(c.header(), c.part), headtest.Sound(200, c.header(), c.body)
+				s.Part, s.Whole = headtest.Unframed(200, c.header(), c.part), headtest.Sound(200, c.header(), c.body)
 				withEarlyServer(t, s, func(h *frontHarness) { c.check(t, h, upload, s.Uploads) })
 			})
 		})
@@ -182,7 +179,7 @@
 	for _, c := range []resetCase{resetCases[0], resetCases[1], resetCases[2], resetCases[6]} {
 		for _, size := range []int{100, 1 << 20, 4 << 20} {
 			t.Run(fmt.Sprintf("%s, %d bytes", c.name, size), func(t *testing.T) {
-				s := &headtest.EarlyServer{Whole: unframed(c.header(), c.body), EndsEarly: true}
+				s := &headtest.EarlyServer{Whole: headtest.Unframed(200, c.header(), c.body), EndsEarly: true}
 				withEarlyServer(t, s, func(h *frontHarness) {
 					w, isBroken := h.call("POST", c.target, strings.Repeat("x", size))
 					if isBroken || w.Code != 200 || w.Body.String() != c.body || s.Uploads() != 1 {
--- a/internal/head/headtest/headtest.go
+++ b/internal/head/headtest/headtest.go
@@ -19,6 +19,11 @@
 	return fmt.Sprintf("HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, header, len(body), body)
 }
 
+// Unframed returns a response with neither a length nor chunks, which ends with its connection.
+func Unframed(status int, header, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\n%s\r\n%s", status, header, body)
+}
+
 // chunked returns a body in one chunk, with the lines of a trailer.
 func chunked(body, trailer string) string {
 	return fmt.Sprintf("%x\r\n%s\r\n0\r\n%s\r\n", len(body), body, trailer)
--- a/internal/head/request_test.go
+++ b/internal/head/request_test.go
@@ -22,7 +22,7 @@
 )
 
 // unframedText is a response that ends with its connection.
-const unframedText = "HTTP/1.1 200 OK\r\n" + testHeader + "\r\n" + testBody
+var unframedText = headtest.Unframed(200, testHeader, testBody)
 
 // stuckConn is a connection from which a text can be read, and whose writes return when it is
 // closed or its deadline has passed.
