--- a/internal/gateway/reset_test.go
+++ b/internal/gateway/reset_test.go
@@ -95,6 +95,82 @@
 	}
 }
 
+// TestResetDoesNotEndAContinuedStream guards against a stream that ends as if complete because the
+// attempt that continues it has no further event when its connection is reset. Without the reset
+// that says that the caller has all.
+func TestResetDoesNotEndAContinuedStream(t *testing.T) {
+	for _, isReset := range []bool{true, false} {
+		t.Run(fmt.Sprint(isReset), func(t *testing.T) {
+			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+				defer time.Sleep(time.Second) // The write ends.
+				dials := 0
+				h.front.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+					conn, err := h.dial(ctx, network, address)
+					if dials++; dials != 3 || !isReset { // The second one asks whether the first server has ended.
+						return conn, err
+					}
+					return &headtest.SlowConn{Conn: conn, Delay: 10 * time.Millisecond, Err: headtest.ErrReset}, err
+				}
+				h.handle = func(_ string, n int, _ receivedRequest, s net.Conn) {
+					if n == 1 {
+						writeStream(s, 1, 2, "s")
+						return
+					}
+					fmt.Fprint(s, headtest.Unframed(200, resetCases[2].header(), ""))
+				}
+				w, isBroken := h.call("POST", "/draft/1", "x")
+				is.Equal(w.Body.String(), streamText(2))
+				is.Equal(isBroken, isReset)
+				is.Equal(len(h.requests()), 2)
+			})
+		})
+	}
+}
+
+// TestPartOfAResponseLosesARace guards against one of two attempts that wins with a part of an
+// unframed response, or that ends the other attempt with it.
+func TestPartOfAResponseLosesARace(t *testing.T) {
+	for _, c := range []resetCase{resetCases[1], resetCases[5]} {
+		for _, delay := range []time.Duration{0, 10 * time.Millisecond} {
+			for _, isFirst := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, %s, first %v", c.name, delay, isFirst), func(t *testing.T) {
+					withHedges(t, func(t *testing.T, is *is.I, h *hedgeHarness) {
+						defer time.Sleep(time.Second) // The write ends.
+						dials, reset := 0, 2
+						sendPart := func(after time.Duration) func(string, net.Conn, bool) {
+							return func(_ string, s net.Conn, _ bool) {
+								time.Sleep(after)
+								fmt.Fprint(s, headtest.Unframed(200, c.header(), c.part))
+							}
+						}
+						h.first, h.second = answerAfter(100*time.Millisecond), sendPart(time.Millisecond)
+						if isFirst {
+							h.first, h.second = sendPart(40*time.Millisecond), answerAfter(60*time.Millisecond)
+							reset = 1
+						}
+						h.front.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+							conn, err := h.dial(ctx, network, address)
+							if dials++; dials != reset {
+								return conn, err
+							}
+							return &headtest.SlowConn{Conn: conn, Delay: delay, Err: headtest.ErrReset}, err
+						}
+						w, isBroken := h.call("POST", c.target, "x")
+						is.True(!isBroken)
+						is.Equal(w.Code, 200)
+						sent := h.sent(is, 2)
+						sound := sent[0]
+						if isFirst {
+							sound = sent[1]
+						}
+						is.Equal(w.Body.String(), wholeAnswer(sound.server, isStreamTarget(c.target)))
+					})
+				})
+			}
+		}
+	}
+}
+
 // TestSlowUploadGetsItsResponse guards against taking a complete unframed response for a broken
 // one, because its end is read before the write of the upload returns.
 func TestSlowUploadGetsItsResponse(t *testing.T) {
--- a/internal/head/request_test.go
+++ b/internal/head/request_test.go
@@ -78,33 +78,35 @@
 // and ends the reads as if the server had closed the connection in order. The write may return
 // before or after the end is read.
 func TestEndAfterAFailedWriteIsNotThatOfTheResponse(t *testing.T) {
-	for _, size := range []int{0, 1, 5000, 1 << 20} {
-		for _, delay := range []time.Duration{0, 10 * time.Millisecond} {
-			t.Run(fmt.Sprintf("%d bytes, %s", size, delay), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					defer time.Sleep(time.Second) // Connections end.
-					is := is.New(t)
-					server := &headtest.Server{Texts: []string{unframedText}}
-					dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-						conn, err := server.Dial(ctx, network, address)
-						return &headtest.SlowConn{Conn: conn, Delay: delay, Err: headtest.ErrReset, Upload: size}, err
-					}
-					text, err := post(newTestTransport(dial), bytes.NewReader(make([]byte, size)))
-					is.True(err != nil)
-					is.True(strings.HasPrefix(testBody, text))
-					raw, err := dial(t.Context(), "", "")
-					is.NoErr(err)
-					c := NewConn(raw, testLimit)
-					request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: s\r\nContent-Length: %d\r\n\r\n", size)
-					go func() { _ = c.WriteRequest([]byte(request + strings.Repeat("x", size))) }()
-					text, err = readText(c)
-					is.Equal(text, testBody)
-					is.True(errors.Is(err, io.ErrUnexpectedEOF))
-					is.True(errors.Is(err, headtest.ErrReset))
-					is.True(!errors.Is(err, io.EOF)) // A reader would take it for the end.
-					is.Equal(c.RequestError(), headtest.ErrReset)
+	for _, response := range []string{unframedText, strings.Replace(unframedText, "HTTP/1.1", "HTTP/1.0", 1)} {
+		for _, size := range []int{0, 1, 5000, 1 << 20} {
+			for _, delay := range []time.Duration{0, 10 * time.Millisecond} {
+				t.Run(fmt.Sprintf("%.8s, %d bytes, %s", response, size, delay), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						defer time.Sleep(time.Second) // Connections end.
+						is := is.New(t)
+						server := &headtest.Server{Texts: []string{response}}
+						dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+							conn, err := server.Dial(ctx, network, address)
+							return &headtest.SlowConn{Conn: conn, Delay: delay, Err: headtest.ErrReset, Upload: size}, err
+						}
+						text, err := post(newTestTransport(dial), bytes.NewReader(make([]byte, size)))
+						is.True(err != nil)
+						is.True(strings.HasPrefix(testBody, text))
+						raw, err := dial(t.Context(), "", "")
+						is.NoErr(err)
+						c := NewConn(raw, testLimit)
+						request := fmt.Sprintf("POST / HTTP/1.1\r\nHost: s\r\nContent-Length: %d\r\n\r\n", size)
+						go func() { _ = c.WriteRequest([]byte(request + strings.Repeat("x", size))) }()
+						text, err = readText(c)
+						is.Equal(text, testBody)
+						is.True(errors.Is(err, io.ErrUnexpectedEOF))
+						is.True(errors.Is(err, headtest.ErrReset))
+						is.True(!errors.Is(err, io.EOF)) // A reader would take it for the end.
+						is.Equal(c.RequestError(), headtest.ErrReset)
+					})
 				})
-			})
+			}
 		}
 	}
 }
