head: a second response of a server is not taken for the next request's

What could be seen: a server sends two responses to one request on a connection that is kept (the store, the status of engines, the list of VMs). The next request on that connection gets the second one as its response. The gateway opens a connection for each request and is not concerned.

Cause: net/http reads what follows a response into its buffer with it, and gives the connection to a waiting request before it looks at the buffer. Usually it finds the bytes first ("Unsolicited response") and closes the connection; under load it may not. The bytes had passed head.Conn as part of the body, so their head was not even checked.

Change: on a reused connection Transport refuses a response whose final head has not passed the connection since the request got it, with the status that it has.

That bytes come between the connection's use and the first write of the request cannot be told from an early response, and is left as it was.

--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -31,6 +31,10 @@
 // reads the request to its end. If it closes the connection before that, its response cannot be
 // told from a part of one.
 //
+// On a connection that is kept, what a server sends after the end of a response belongs to none.
+// net/http may have read it together with that response, and would take it for the response to the
+// next request. So the head of a response must come after its request got the connection.
+//
 // Invariants: no response is returned of which a head is malformed, nor the end of a body whose
 // trailer has a malformed field, nor the end of one that ends with a connection to which the
 // request could not be written. What is read is passed on unchanged. A malformed head proves
--- a/internal/head/head_test.go
+++ b/internal/head/head_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
 	"testing/synctest"
@@ -225,6 +226,40 @@
 	})
 }
 
+// TestExtraResponseIsNoResponse guards against taking a second response of a server for the response
+// to the next request on the connection. Requests that wait for the connection get it while the
+// transport holds what came with the first response.
+func TestExtraResponseIsNoResponse(t *testing.T) {
+	const extra = "the extra body"
+	for range 300 {
+		transport := newServedTransport(func(in *bufio.Reader, c net.Conn) {
+			for {
+				request, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = io.WriteString(c, headtest.Sound(200, testHeader, testBody)+headtest.Sound(200, testHeader, extra))
+			}
+		})
+		transport.base.MaxConnsPerHost = 1
+		var wait sync.WaitGroup
+		for range 10 {
+			wait.Go(func() {
+				text, err := post(transport, strings.NewReader("x"))
+				if text == extra {
+					t.Error("the extra response was taken for one")
+				}
+				if err != nil && !errors.Is(err, ErrMalformed) {
+					t.Errorf("got %v", err)
+				}
+			})
+		}
+		wait.Wait()
+		transport.CloseIdleConnections()
+	}
+}
+
 // TestTransportSendsABodyAtOnce guards against waiting for the response to "Expect: 100-continue",
 // which is read together with the final one.
 func TestTransportSendsABodyAtOnce(t *testing.T) {
--- a/internal/head/read.go
+++ b/internal/head/read.go
@@ -127,6 +127,17 @@
 	return n, err
 }
 
+// passedStatus returns the status of the final head that has come since the request was expected,
+// or 0 if none has.
+func (c *Conn) passedStatus() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.checker.isDone {
+		return 0
+	}
+	return c.checker.status
+}
+
 // endsResponse reports whether the end of the connection is that of a response.
 func (c *Conn) endsResponse() bool {
 	c.mu.Lock()
--- a/internal/head/transport.go
+++ b/internal/head/transport.go
@@ -36,10 +36,11 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	var c *Conn
+	isReused := false
 	trace := &httptrace.ClientTrace{
 		// It is called right before the request is written, when the connection carries nothing else.
 		GotConn: func(info httptrace.GotConnInfo) {
-			c = info.Conn.(*Conn)
+			c, isReused = info.Conn.(*Conn), info.Reused
 			c.expectRequest()
 		},
 		// The last bytes may be buffered. They are the only ones then, but for a long head without
@@ -50,6 +51,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if isReused && c.passedStatus() != response.StatusCode {
+		response.Body.Close()
+		return nil, malformed("it came before its request")
+	}
 	checkTrailer(response)
 	return response, nil
 }
