eelgrassd: a test of uploads that are reset, with a whole node over TCP

A node of its own interface, with a server that responds to 1 MB and 4 MB uploads at once without a length, sends a part and resets the connection: each caller is told that the request may have run, and none gets the part.

--- a/cmd/eelgrassd/declared_test.go
+++ b/cmd/eelgrassd/declared_test.go
@@ -335,3 +335,32 @@
 	}
 	is.Equal(strings.Count(log.String(), `"event":511`), len(malformed))
 }
+
+// TestResetUploadReachesNoCaller guards against a part of a response that the node forwards as
+// complete: its server resets the connection while a long upload is being written.
+func TestResetUploadReachesNoCaller(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	const body = "the whole body"
+	const uploads = 10
+	server := &headtest.EarlyServer{Part: headtest.Unframed(200, "", "the whole"), Resets: 2 * uploads, Pause: time.Millisecond, Whole: headtest.Sound(200, "", body)}
+	go server.Serve(l)
+	url, _, stop := startDeclared(t, l.Addr().String(), "", time.Second)
+	defer stop()
+	for _, size := range []int{1 << 20, 4 << 20} {
+		for range uploads {
+			response, got, err := callApp(t.Context(), url, http.MethodPost, strings.NewReader(strings.Repeat("x", size)))
+			is.NoErr(err)
+			is.Equal(response.StatusCode, http.StatusBadGateway)
+			is.Equal(response.Header.Get("Eelgrass-Ran"), "unknown")
+			is.True(!strings.Contains(got, "the whole"))
+		}
+	}
+	response, got, err := callApp(t.Context(), url, http.MethodPost, strings.NewReader(strings.Repeat("x", 4<<20)))
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(got, body)
+	is.Equal(server.Uploads(), 2*uploads+1)
+}
