gateway: a server that resets uploads is avoided; docs

TestServerThatResetsIsAvoided: of 100 requests at most 10 fail where one of three servers resets each with a part of a response.

--- a/internal/gateway/reset_test.go
+++ b/internal/gateway/reset_test.go
@@ -171,6 +171,36 @@
 	}
 }
 
+// TestServerThatResetsIsAvoided guards against sending requests to a server that resets each at once,
+// and that so appears the least loaded.
+func TestServerThatResetsIsAvoided(t *testing.T) {
+	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
+		h.front.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := h.dial(ctx, network, address)
+			if address != "a" {
+				return conn, err
+			}
+			return &headtest.SlowConn{Conn: conn, Err: headtest.ErrReset}, err
+		}
+		h.handle = func(server string, _ int, _ receivedRequest, s net.Conn) {
+			if server == "a" {
+				fmt.Fprint(s, headtest.Unframed(200, resetCases[0].header(), resetCases[0].part))
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+			respond(s, 200, "id1", cutBody)
+		}
+		failed := 0
+		for range 100 {
+			if w, _ := h.call("POST", "/write/1", "x"); w.Code != 200 {
+				failed++
+			}
+		}
+		is.True(failed > 0)
+		is.True(failed <= 10)
+	})
+}
+
 // TestSlowUploadGetsItsResponse guards against taking a complete unframed response for a broken
 // one, because its end is read before the write of the upload returns.
 func TestSlowUploadGetsItsResponse(t *testing.T) {
--- a/internal/head/head.go
+++ b/internal/head/head.go
@@ -1,8 +1,8 @@
 // Package head reads responses: their heads by the grammar of HTTP/1.1 (RFC 9110, RFC 9112), and
 // the end of those that end with their connection.
 //
-// net/http accepts more: a status of three characters that are a number, such as +20 or 000, and
-// a blank in the name of a field, which it then does not find. It and the reader of a forwarded
+// net/http accepts more heads: a status of three characters that are a number, such as +20 or 000,
+// and a blank in the name of a field, which it then does not find. It and the reader of a forwarded
 // response would see different fields, or another end of the body.
 //
 // The head of a response is its status line and its fields, up to an empty line. Heads of
