gateway, platform: tests of resets share their dialer; a check made strict

Found when the whole change was read again:

- Six copies of a dialer that makes some connections slow are one, slowDialer.
No assertion changed.
- TestServerThatResetsIsAvoided also passed on, for another reason: its health checks were reset too, so that its parts were never taken for complete.
They are not reset now.
- The comment in Transport said too little about what may be written after the trace says that the request is: for a head longer than the buffer, or a body in chunks, the end of a response counts a moment early.
Nothing was seen of it.

--- a/internal/gateway/reset_declared_test.go
+++ b/internal/gateway/reset_declared_test.go
@@ -24,19 +24,10 @@
 	return p
 }
 
-// makeSlow replaces the first connection that a server opens by a slow one.
+// makeSlow makes the first connection that a server opens slow.
 func makeSlow(s *Server, slow headtest.SlowConn) {
 	transport := s.transport.(*head.Transport)
-	dial, isFirst := transport.Dial, true
-	transport.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if !isFirst {
-			return conn, err
-		}
-		isFirst = false
-		slow.Conn = conn
-		return &slow, err
-	}
+	transport.Dial = slowDialer(transport.Dial, slow, isNth(1))
 }
 
 // eachResetCall runs a test in virtual time for uploads to a declared server that sends part and
--- a/internal/gateway/reset_test.go
+++ b/internal/gateway/reset_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +61,26 @@
 	}
 }
 
+// slowDialer returns a dialer that makes those connections of another slow that isSlow reports, by
+// their number, from 1 on, and their address.
+func slowDialer(dial Dialer, slow headtest.SlowConn, isSlow func(n int, address string) bool) Dialer {
+	var count atomic.Int64
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil || !isSlow(int(count.Add(1)), address) {
+			return conn, err
+		}
+		out := slow
+		out.Conn = conn
+		return &out, nil
+	}
+}
+
+// isNth returns a function for slowDialer that reports the n-th connection.
+func isNth(n int) func(int, string) bool {
+	return func(m int, _ string) bool { return m == n }
+}
+
 // TestResetUploadGetsNoPartOfAResponse guards against a part of an unframed response that is
 // forwarded as complete. Its server resets the connection while the upload is written: the write
 // takes the error, after or before the end of the response is read. The server lives.
@@ -69,14 +90,7 @@
 			for _, delay := range []time.Duration{0, 10 * time.Millisecond} {
 				t.Run(fmt.Sprintf("%s, %d bytes, %s", c.name, size, delay), func(t *testing.T) {
 					withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
-						uploads := 0
-						h.front.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-							conn, err := h.dial(ctx, network, address)
-							if uploads++; uploads > 1 {
-								return conn, err
-							}
-							return &headtest.SlowConn{Conn: conn, Delay: delay, Err: headtest.ErrReset, Upload: size}, err
-						}
+						h.front.config.Dial = slowDialer(h.dial, headtest.SlowConn{Delay: delay, Err: headtest.ErrReset, Upload: size}, isNth(1))
 						h.handle = func(_ string, n int, _ receivedRequest, s net.Conn) {
 							if n == 1 {
 								fmt.Fprint(s, headtest.Unframed(200, c.header()+notices, c.part))
@@ -103,13 +117,8 @@
 		t.Run(fmt.Sprint(isReset), func(t *testing.T) {
 			withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
 				defer time.Sleep(time.Second) // The write ends.
-				dials := 0
-				h.front.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-					conn, err := h.dial(ctx, network, address)
-					if dials++; dials != 3 || !isReset { // The second one asks whether the first server has ended.
-						return conn, err
-					}
-					return &headtest.SlowConn{Conn: conn, Delay: 10 * time.Millisecond, Err: headtest.ErrReset}, err
+				if isReset {                  // The second connection asks whether the first server has ended.
+					h.front.config.Dial = slowDialer(h.dial, headtest.SlowConn{Delay: 10 * time.Millisecond, Err: headtest.ErrReset}, isNth(3))
 				}
 				h.handle = func(_ string, n int, _ receivedRequest, s net.Conn) {
 					if n == 1 {
@@ -136,7 +145,7 @@
 				t.Run(fmt.Sprintf("%s, %s, first %v", c.name, delay, isFirst), func(t *testing.T) {
 					withHedges(t, func(t *testing.T, is *is.I, h *hedgeHarness) {
 						defer time.Sleep(time.Second) // The write ends.
-						dials, reset := 0, 2
+						reset := 2
 						sendPart := func(after time.Duration) func(string, net.Conn, bool) {
 							return func(_ string, s net.Conn, _ bool) {
 								time.Sleep(after)
@@ -148,13 +157,7 @@
 							h.first, h.second = sendPart(40*time.Millisecond), answerAfter(60*time.Millisecond)
 							reset = 1
 						}
-						h.front.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-							conn, err := h.dial(ctx, network, address)
-							if dials++; dials != reset {
-								return conn, err
-							}
-							return &headtest.SlowConn{Conn: conn, Delay: delay, Err: headtest.ErrReset}, err
-						}
+						h.front.config.Dial = slowDialer(h.dial, headtest.SlowConn{Delay: delay, Err: headtest.ErrReset}, isNth(reset))
 						w, isBroken := h.call("POST", c.target, "x")
 						is.True(!isBroken)
 						is.Equal(w.Code, 200)
@@ -175,13 +178,9 @@
 // and that so appears the least loaded.
 func TestServerThatResetsIsAvoided(t *testing.T) {
 	withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
-		h.front.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := h.dial(ctx, network, address)
-			if address != "a" {
-				return conn, err
-			}
-			return &headtest.SlowConn{Conn: conn, Err: headtest.ErrReset}, err
-		}
+		upload := strings.Repeat("x", maxInlineBody) // Health checks are shorter, and not reset.
+		isFailing := func(_ int, address string) bool { return address == "a" }
+		h.front.config.Dial = slowDialer(h.dial, headtest.SlowConn{Err: headtest.ErrReset, Upload: len(upload)}, isFailing)
 		h.handle = func(server string, _ int, _ receivedRequest, s net.Conn) {
 			if server == "a" {
 				fmt.Fprint(s, headtest.Unframed(200, resetCases[0].header(), resetCases[0].part))
@@ -192,7 +191,7 @@
 		}
 		failed := 0
 		for range 100 {
-			if w, _ := h.call("POST", "/write/1", "x"); w.Code != 200 {
+			if w, _ := h.call("POST", "/write/1", upload); w.Code != 200 {
 				failed++
 			}
 		}
@@ -208,10 +207,8 @@
 		for _, size := range []int{1, 1 << 20} {
 			t.Run(fmt.Sprintf("%s, %d bytes", c.name, size), func(t *testing.T) {
 				withFrontHarness(t, func(t *testing.T, is *is.I, h *frontHarness) {
-					h.front.config.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
-						conn, err := h.dial(ctx, network, address)
-						return &headtest.SlowConn{Conn: conn, Delay: 10 * time.Millisecond}, err
-					}
+					isAny := func(int, string) bool { return true }
+					h.front.config.Dial = slowDialer(h.dial, headtest.SlowConn{Delay: 10 * time.Millisecond}, isAny)
 					h.handle = func(_ string, _ int, _ receivedRequest, s net.Conn) {
 						fmt.Fprint(s, headtest.Unframed(200, c.header(), c.body))
 					}
--- a/internal/head/transport.go
+++ b/internal/head/transport.go
@@ -43,8 +43,9 @@
 			c, isReused = info.Conn.(*Conn), info.Reused
 			c.expectRequest()
 		},
-		// The last bytes may be buffered. They are the only ones then, but for a long head without
-		// a body.
+		// It is called before the last flush of the transport's buffer. That writes the whole of a
+		// short request, nothing of a long body with a length, or the last bytes of a head that is
+		// longer than the buffer or of a body in chunks, for which the end counts a moment early.
 		WroteRequest: func(info httptrace.WroteRequestInfo) { c.request.end(info.Err) },
 	}
 	response, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
